--- /dev/null
+++ b/burdockhitch/adapters/admin.py
@@ -0,0 +1,88 @@
+"""HTTP towards operators: metrics, the state dump and requests."""
+
+from typing import Any
+
+import msgspec
+from aioprometheus import Counter, Gauge, Registry, render
+from klein import Klein
+
+from burdockhitch.adapters.state import dump_table, encode_state
+from burdockhitch.world import World, current_revision
+
+METRIC_PREFIX = "burdockhitch_"
+JSON_TYPE = "application/json"
+
+
+def _collect_counters(world: World, registry: Registry) -> None:
+    counters: dict[str, Counter] = {}
+    for row in world.counters:
+        name, label, value = row.key
+        if name not in counters:
+            metric = f"{METRIC_PREFIX}{name}_total"
+            counters[name] = Counter(metric, name.replace("_", " "), registry=registry)
+        labels = {label: str(value)} if label else {}
+        counters[name].set(labels, row.n_events)
+
+
+def _collect_gauges(world: World, registry: Registry) -> None:
+    sizes = {
+        "requests_open": len(world.requests),
+        "requests_witnessed": len(world.witnessed),
+        "revision": current_revision(world),
+        "home_records": len(world.home_records),
+    }
+    for name, value in sizes.items():
+        gauge = Gauge(METRIC_PREFIX + name, name.replace("_", " "), registry=registry)
+        gauge.set({}, value)
+
+
+def collect_metrics(world: World) -> Registry:
+    """Return the metrics of this moment."""
+    registry = Registry()
+    _collect_counters(world, registry)
+    _collect_gauges(world, registry)
+    return registry
+
+
+class AdminFront:
+    """Answers operators.
+
+    Args:
+        world: Tables of this VM.
+    """
+
+    app = Klein()
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    @app.route("/metrics", methods=["GET"])
+    def metrics(self, request: Any) -> bytes:
+        """Return the metrics in the text format."""
+        accepts = request.requestHeaders.getRawHeaders("accept", [])
+        body, headers = render(collect_metrics(self._world), accepts)
+        for name, value in headers.items():
+            request.setHeader(name, value)
+        return bytes(body)
+
+    @app.route("/state", methods=["GET"])
+    def state(self, request: Any) -> bytes:
+        """Return every table."""
+        request.setHeader("content-type", JSON_TYPE)
+        return encode_state(self._world)
+
+    @app.route("/requests", methods=["GET"])
+    def requests(self, request: Any) -> bytes:
+        """Return open and lost requests."""
+        request.setHeader("content-type", JSON_TYPE)
+        document = {
+            "open": dump_table(self._world.requests),
+            "lost": dump_table(self._world.lost),
+        }
+        return msgspec.json.encode(document, enc_hook=str)
+
+    @app.route("/health", methods=["GET"])
+    def health(self, request: Any) -> bytes:
+        """Return the revision in force."""
+        request.setHeader("content-type", JSON_TYPE)
+        return msgspec.json.encode({"revision": current_revision(self._world)})
--- /dev/null
+++ b/burdockhitch/adapters/codec.py
@@ -0,0 +1,65 @@
+"""Encodes messages between VMs; the codec is ``msgspec``'s MessagePack."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from burdockhitch.errors import (
+    MessageFleetError,
+    MessageFormatError,
+    MessageSizeError,
+    MessageVersionError,
+)
+from burdockhitch.messages import vm_messages
+
+MESSAGE_VERSION = b"1"
+N_FRAMES = 5
+
+_encoder = msgspec.msgpack.Encoder()
+_decoders = {kind: msgspec.msgpack.Decoder(vm_messages[kind]) for kind in vm_messages}
+_kind_by_type = {vm_messages[kind]: kind for kind in vm_messages}
+
+
+class Envelope(NamedTuple):
+    """A decoded message and who sent it."""
+
+    sender_vm_id: str
+    message: Any
+
+
+def encode_message(fleet: str, sender_vm_id: str, message: Any) -> list[bytes]:
+    """Return the frames of a message."""
+    return [
+        MESSAGE_VERSION,
+        fleet.encode(),
+        sender_vm_id.encode(),
+        _kind_by_type[type(message)].encode(),
+        _encoder.encode(message),
+    ]
+
+
+def decode_message(fleet: str, frames: list[bytes], max_bytes: int) -> Envelope:
+    """Return the message of some frames.
+
+    Raises:
+        MessageVersionError: If it has another version.
+        MessageFleetError: If it belongs to another fleet.
+        MessageSizeError: If it is larger than ``max_bytes``.
+        MessageFormatError: If it can't be decoded.
+    """
+    if sum(len(frame) for frame in frames) > max_bytes:
+        raise MessageSizeError()
+    if len(frames) != N_FRAMES:
+        raise MessageFormatError("number of frames")
+    version, sender_fleet, sender, kind, payload = frames
+    if version != MESSAGE_VERSION:
+        raise MessageVersionError(version)
+    if sender_fleet != fleet.encode():
+        raise MessageFleetError(sender_fleet)
+    decoder = _decoders.get(kind.decode("ascii", "replace"))
+    if decoder is None:
+        raise MessageFormatError("kind")
+    try:
+        return Envelope(sender.decode(), decoder.decode(payload))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise MessageFormatError(str(error)) from None
--- /dev/null
+++ b/burdockhitch/adapters/daemon.py
@@ -0,0 +1,122 @@
+"""The daemon of an entry VM: one loop on one thread."""
+
+import random
+import signal
+import sys
+from typing import Any
+
+import treq.client
+from twisted.internet.endpoints import serverFromString
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.server import Site
+
+from burdockhitch import commands, events, log, systems
+from burdockhitch.adapters import callers, links, platform, servers
+from burdockhitch.adapters.admin import AdminFront
+from burdockhitch.adapters.loop import Ticker
+from burdockhitch.adapters.process import Process, senders
+from burdockhitch.adapters.state import encode_state
+from burdockhitch.clock import SystemClock
+from burdockhitch.settings import Settings
+from burdockhitch.systems.configuration import start_configuration
+from burdockhitch.systems.membership import start_membership
+from burdockhitch.world import World, make_world
+
+ADAPTERS = (callers, links, platform, servers, systems)
+EXIT_DELAY_S = 0.2
+
+
+@senders("LogEvent")
+def write_log(_process: Process, command: commands.LogEvent) -> None:
+    """Write a line to the log."""
+    log.write_event(command.level, command.event, command.fields)
+
+
+@senders("StopProcess")
+def stop_process(process: Process, _command: commands.StopProcess) -> None:
+    """End the process after the last answers were written."""
+    process.links.close()
+    process.reactor.callLater(EXIT_DELAY_S, process.reactor.stop)
+
+
+def make_process(world: World, reactor: Any) -> Process:
+    """Return the parts of a process around its tables."""
+
+    def deliver(kind: str, command: Any) -> None:
+        senders[kind](process, command)
+
+    ticker = Ticker(world, reactor, deliver)
+    server_settings = world.settings.backend_servers
+    process = Process(
+        world=world,
+        reactor=reactor,
+        ticker=ticker,
+        callers={},
+        attempts={},
+        backend_agent=servers.make_agent(reactor, server_settings.connect_timeout_s),
+        platform_client=_make_client(world, reactor),
+        links=links.Links(world, reactor, ticker.post),
+    )
+    return process
+
+
+def _make_client(world: World, reactor: Any) -> treq.client.HTTPClient:
+    pool = HTTPConnectionPool(reactor)
+    pool.retryAutomatically = False
+    timeout_s = world.settings.platform.timeout_s
+    agent = Agent(reactor, connectTimeout=timeout_s, pool=pool)
+    return treq.client.HTTPClient(agent)
+
+
+def listen(reactor: Any, address: str, site: Site) -> None:
+    """Listen on ``ip:port``; the process ends if that fails."""
+    host, _, port = address.rpartition(":")
+    endpoint = serverFromString(reactor, f"tcp:{port}:interface={host}")
+
+    def fail(failure: Any) -> None:
+        log.write_event(
+            "ERROR", "listen_failed", {"address": address, "error": str(failure.value)}
+        )
+        reactor.stop()
+
+    endpoint.listen(site).addErrback(fail)
+
+
+def _handle_signals(process: Process) -> None:
+    def stop(_number: int, _frame: Any) -> None:
+        process.reactor.callFromThread(process.ticker.post, events.StopRequested())
+
+    def dump(_number: int, _frame: Any) -> None:
+        process.reactor.callFromThread(_write_dump, process.world)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGUSR1, dump)
+
+
+def _write_dump(world: World) -> None:
+    sys.stderr.write(encode_state(world).decode() + "\n")
+
+
+def run_daemon(settings: Settings) -> None:
+    """Run until the VM has left the fleet.
+
+    Args:
+        settings: Checked settings.
+    """
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    log.configure_log(settings.log.level, settings.vm.vm_id)
+    world = make_world(settings, SystemClock(), random.Random())
+    process = make_process(world, loop)
+    now = world.clock.now()
+    start_membership(world, now)
+    start_configuration(world, now)
+    process.links.start()
+    listen(loop, settings.vm.caller_address, callers.make_site(process))
+    listen(loop, settings.vm.admin_address, Site(AdminFront(world).app.resource()))
+    process.ticker.request_tick()
+    loop.callWhenRunning(_handle_signals, process)
+    log.write_event("INFO", "started", {"incarnation": world.local.incarnation})
+    loop.run(installSignalHandlers=False)
--- /dev/null
+++ b/burdockhitch/adapters/loop.py
@@ -0,0 +1,61 @@
+"""Runs a tick when an event arrived or a timer is due, and never otherwise."""
+
+from collections.abc import Callable
+from typing import Any
+
+from burdockhitch.systems.phases import run_tick
+from burdockhitch.world import World, post_event
+
+
+class Ticker:
+    """Coalesces the events of one reactor turn into one tick.
+
+    Args:
+        world: Tables of this VM.
+        reactor: Twisted reactor.
+        deliver: Called with each command of the outbox.
+    """
+
+    def __init__(
+        self, world: World, reactor: Any, deliver: Callable[[str, Any], None]
+    ) -> None:
+        self._world = world
+        self._reactor = reactor
+        self._deliver = deliver
+        self._is_requested = False
+        self._timer: Any = None
+
+    def post(self, event: Any) -> None:
+        """Put an event into the inbox and request a tick."""
+        post_event(self._world, event)
+        self.request_tick()
+
+    def request_tick(self) -> None:
+        """Run a tick in the next turn of the reactor."""
+        if not self._is_requested:
+            self._is_requested = True
+            self._reactor.callLater(0, self._tick)
+
+    def _tick(self) -> None:
+        self._is_requested = False
+        run_tick(self._world)
+        self._flush()
+        if len(self._world.inbox):
+            self.request_tick()
+        self._plan_timer()
+
+    def _flush(self) -> None:
+        outbox = self._world.outbox
+        for row in outbox:
+            outbox.remove(row.sequence)
+            self._deliver(row.kind, row.command)
+
+    def _plan_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+        row = self._world.timers.first("due_s")
+        if row is None:
+            return
+        delay_s = row.due_s - self._world.clock.now().monotonic_s
+        self._timer = self._reactor.callLater(max(0.0, delay_s), self.request_tick)
--- /dev/null
+++ b/burdockhitch/adapters/state.py
@@ -0,0 +1,53 @@
+"""Dump of a process's state: every table, typed and without secrets."""
+
+from typing import Any
+
+import msgspec
+
+from burdockhitch import __version__
+from burdockhitch.messages import Answer, RequestMessage
+from burdockhitch.tables.table import Table
+from burdockhitch.world import World
+
+DUMP_VERSION = 1
+HIDDEN_TABLES = frozenset({"outbox", "inbox"})
+
+
+def _shorten(value: Any) -> Any:
+    if isinstance(value, RequestMessage):
+        return {"method": value.method, "path": value.path}
+    if isinstance(value, Answer):
+        return {"status": value.status, "n_body_bytes": len(value.body)}
+    if isinstance(value, bytes):
+        return {"n_bytes": len(value)}
+    if hasattr(value, "_asdict"):
+        return {name: _shorten(item) for name, item in value._asdict().items()}
+    return value
+
+
+def dump_table(table: Table[Any]) -> list[dict[str, Any]]:
+    """Return the rows of a table without bodies and header values."""
+    return [_shorten(row) for row in table]
+
+
+def dump_state(world: World) -> dict[str, Any]:
+    """Return all tables of a VM."""
+    now = world.clock.now()
+    tables = {
+        name: dump_table(table)
+        for name, table in world._asdict().items()
+        if isinstance(table, Table) and name not in HIDDEN_TABLES
+    }
+    return {
+        "dump_version": DUMP_VERSION,
+        "program_version": __version__,
+        "utc": now.utc.isoformat(),
+        "monotonic_s": now.monotonic_s,
+        "vm": world.local._asdict(),
+        "tables": tables,
+    }
+
+
+def encode_state(world: World) -> bytes:
+    """Return the dump as JSON."""
+    return msgspec.json.encode(dump_state(world), enc_hook=str)
--- /dev/null
+++ b/burdockhitch/command.py
@@ -0,0 +1,261 @@
+"""The command line."""
+
+import os
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from burdockhitch import __version__
+from burdockhitch.clock import SystemClock
+from burdockhitch.errors import (
+    BurdockhitchError,
+    LargeDeletionError,
+    MergeConflictError,
+    PlatformUnavailableError,
+    RulesFileError,
+    SettingsError,
+)
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_UNUSABLE = 2
+EXIT_CONFLICT = 3
+EXIT_UNAVAILABLE = 4
+HTTP_TIMEOUT_S = 5.0
+
+app = typer.Typer(
+    help="Proxy fleet for backend servers with gray failures.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+)
+rules_app = typer.Typer(help="Check, push and read the rules.", no_args_is_help=True)
+standin_app = typer.Typer(help="Run stand-ins for tests.", no_args_is_help=True)
+app.add_typer(rules_app, name="rules")
+app.add_typer(standin_app, name="standin")
+
+FileArgument = Annotated[Path, typer.Argument(help="Rules file.")]
+PlatformOption = Annotated[str, typer.Option(help="Address of the platform, ip:port.")]
+AdminOption = Annotated[str, typer.Option(help="Admin address of a VM, ip:port.")]
+JsonOption = Annotated[bool, typer.Option("--json", help="Write JSON.")]
+
+_EXIT_BY_ERROR: tuple[tuple[type[BurdockhitchError], int], ...] = (
+    (RulesFileError, EXIT_UNUSABLE),
+    (SettingsError, EXIT_UNUSABLE),
+    (MergeConflictError, EXIT_CONFLICT),
+    (LargeDeletionError, EXIT_CONFLICT),
+    (PlatformUnavailableError, EXIT_UNAVAILABLE),
+)
+
+
+def _write(document: Any) -> None:
+    sys.stdout.write(msgspec.json.encode(document, enc_hook=str).decode() + "\n")
+
+
+def exit_code_of(error: BurdockhitchError) -> int:
+    """Return the exit code that stands for an error."""
+    for error_type, code in _EXIT_BY_ERROR:
+        if isinstance(error, error_type):
+            return code
+    return EXIT_FAILED
+
+
+def _run_async(make: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
+    """Run a coroutine in the reactor and return its result."""
+    from twisted.internet import reactor
+    from twisted.internet.defer import Deferred
+
+    loop: Any = reactor
+    outcome: list[Any] = []
+
+    def finish(result: Any) -> None:
+        outcome.append(result)
+        loop.stop()
+
+    def start() -> None:
+        Deferred.fromCoroutine(make()).addBoth(finish)
+
+    loop.callWhenRunning(start)
+    loop.run()
+    from twisted.python.failure import Failure
+
+    if isinstance(outcome[0], Failure):
+        outcome[0].raiseException()
+    return outcome[0]
+
+
+@app.command()
+def version() -> None:
+    """Write the version."""
+    typer.echo(__version__)
+
+
+@app.command()
+def serve(
+    settings: Annotated[Path, typer.Option(help="INI file with the VM's settings.")],
+) -> None:
+    """Run the daemon of an entry VM."""
+    from burdockhitch.adapters.daemon import run_daemon
+    from burdockhitch.settings import read_settings
+
+    run_daemon(read_settings(settings))
+
+
+@app.command("check-settings")
+def check_settings(
+    path: Annotated[Path, typer.Argument(help="INI file.")],
+) -> None:
+    """Check a settings file and write what is in force."""
+    from burdockhitch.settings import read_settings
+
+    _write(read_settings(path)._asdict())
+
+
+@rules_app.command()
+def check(path: FileArgument, as_json: JsonOption = False) -> None:
+    """Check a rules file."""
+    from burdockhitch.operators import split_base
+    from burdockhitch.rules.document import parse_rules
+
+    started_s = time.perf_counter()
+    body = path.read_bytes()
+    if body.startswith(b"# revision "):
+        body = split_base(body.decode())[1].encode()
+    document = parse_rules(body)
+    n_rules = sum(len(rows) for rows in document)
+    elapsed_s = time.perf_counter() - started_s
+    if as_json:
+        _write({"n_rules": n_rules, "elapsed_s": elapsed_s})
+    else:
+        typer.echo(f"{path}: {n_rules} rules are usable ({elapsed_s:.2f} s)")
+
+
+@rules_app.command()
+def push(
+    path: FileArgument,
+    platform: PlatformOption,
+    operator: Annotated[str, typer.Option(help="Who pushes.")] = "",
+    allow_deletion: Annotated[
+        bool, typer.Option(help="Allow a push to delete most rules.")
+    ] = False,
+) -> None:
+    """Check a rules file and put it in force."""
+    from burdockhitch.operators import PlatformClient, push_rules
+
+    client = PlatformClient(platform)
+    name = operator or os.environ.get("USER", "unknown")
+    text = path.read_text("utf-8")
+    result = _run_async(
+        lambda: push_rules(client, text, name, SystemClock(), allow_deletion)
+    )
+    merged = ", merged with other operators' rules" if result.is_merged else ""
+    changed = "in force" if result.is_changed else "unchanged"
+    typer.echo(f"revision {result.number} {changed}{merged}")
+
+
+@rules_app.command()
+def pull(path: FileArgument, platform: PlatformOption) -> None:
+    """Write the rules in force to a file."""
+    from burdockhitch.operators import PlatformClient, mark_base, read_head
+
+    head = _run_async(lambda: read_head(PlatformClient(platform)))
+    path.write_text(mark_base(head), "utf-8")
+    typer.echo(f"revision {head.number} written to {path}")
+
+
+@rules_app.command()
+def show(platform: PlatformOption) -> None:
+    """Write the rules in force."""
+    from burdockhitch.operators import PlatformClient, read_head
+
+    head = _run_async(lambda: read_head(PlatformClient(platform)))
+    typer.echo(head.text, nl=False)
+
+
+@rules_app.command()
+def diff(path: FileArgument, platform: PlatformOption) -> None:
+    """Write how a file differs from the rules in force."""
+    from burdockhitch.operators import PlatformClient, read_head, split_base
+    from burdockhitch.rules.merge import diff_rules
+
+    head = _run_async(lambda: read_head(PlatformClient(platform)))
+    ours = split_base(path.read_text("utf-8"))[1]
+    for change in diff_rules(head.text, ours):
+        if change.before:
+            typer.echo(f"- {change.before}")
+        if change.after:
+            typer.echo(f"+ {change.after}")
+
+
+@rules_app.command("log")
+def show_log(platform: PlatformOption, as_json: JsonOption = False) -> None:
+    """Write all revisions, newest first."""
+    from burdockhitch.operators import PlatformClient, read_log
+
+    documents = _run_async(lambda: read_log(PlatformClient(platform)))
+    if as_json:
+        _write(documents)
+        return
+    for document in documents:
+        typer.echo(
+            f"{document['number']} {document['pushed_at']} "
+            f"{document['pushed_by']} {document['body_hash']}"
+        )
+
+
+async def _fetch(address: str, path: str) -> bytes:
+    import treq
+
+    try:
+        response = await treq.get(
+            f"http://{address}{path}", timeout=HTTP_TIMEOUT_S, persistent=False
+        )
+        content: bytes = await treq.content(response)
+    except Exception as error:
+        raise PlatformUnavailableError(f"{address}: {error}") from None
+    return content
+
+
+@app.command()
+def state(admin: AdminOption) -> None:
+    """Write the state dump of one VM."""
+    typer.echo(_run_async(lambda: _fetch(admin, "/state")).decode())
+
+
+@app.command()
+def requests(admin: AdminOption, as_json: JsonOption = False) -> None:
+    """Write the open and lost requests that one VM knows of."""
+    document = msgspec.json.decode(_run_async(lambda: _fetch(admin, "/requests")))
+    if as_json:
+        _write(document)
+        return
+    for kind, rows in document.items():
+        typer.echo(f"{kind}: {len(rows)}")
+        for row in rows:
+            typer.echo(f"  {row['request_id']} {row['service']} {row['route_id']}")
+
+
+@standin_app.command("platform")
+def standin_platform(
+    address: Annotated[str, typer.Option(help="Address to listen on, ip:port.")],
+) -> None:
+    """Run the platform's stand-in."""
+    from burdockhitch.standins.run import run_platform
+
+    run_platform(address)
+
+
+@standin_app.command("servers")
+def standin_servers(
+    address: Annotated[list[str], typer.Option(help="Addresses, ip:port.")],
+    slots: Annotated[int, typer.Option(help="Slots of each server.")] = 4,
+    seed: Annotated[int, typer.Option(help="Seed of the random faults.")] = 1,
+) -> None:
+    """Run backend servers."""
+    from burdockhitch.standins.run import run_servers
+
+    run_servers(address, slots, seed)
--- /dev/null
+++ b/burdockhitch/commands.py
@@ -0,0 +1,162 @@
+"""Commands that systems put into the outbox and adapters carry out."""
+
+from typing import Any, NamedTuple
+
+from burdockhitch.messages import Answer, Refusal, RequestMessage
+
+
+class AnswerCaller(NamedTuple):
+    """Send a whole answer to a caller."""
+
+    connection_id: int
+    request_id: str
+    answer: Answer
+
+
+class RefuseCaller(NamedTuple):
+    """Send a refusal to a caller."""
+
+    connection_id: int
+    request_id: str
+    refusal: Refusal
+
+
+class AddressOffer(NamedTuple):
+    """One address for a caller.
+
+    Attributes:
+        address: ``ip:port``.
+        zone: Availability zone of the VM.
+        home: Token for keyed requests sent to this VM.
+    """
+
+    address: str
+    zone: str
+    home: str
+
+
+class OfferAddresses(NamedTuple):
+    """Tell a caller which addresses to use, best first.
+
+    Attributes:
+        connection_id: Caller's connection.
+        service: Service asked for.
+        offers: Addresses.
+        keep_s: Time to keep the answer.
+        revision: Revision in force.
+    """
+
+    connection_id: int
+    service: str
+    offers: tuple[AddressOffer, ...]
+    keep_s: float
+    revision: int
+
+
+class SendAttempt(NamedTuple):
+    """Send a request to a backend server."""
+
+    attempt_id: int
+    request_id: str
+    address: str
+    request: RequestMessage
+    timeout_s: float
+
+
+class CancelAttempt(NamedTuple):
+    """Stop waiting for a backend server and tell it so."""
+
+    attempt_id: int
+
+
+class ProbeServer(NamedTuple):
+    """Probe the health endpoint of a backend server."""
+
+    server_id: str
+    address: str
+    timeout_s: float
+
+
+class SendMessage(NamedTuple):
+    """Send a message to another VM.
+
+    Attributes:
+        vm_id: Receiver.
+        message_address: ``ip:port`` of the receiver.
+        message: One of ``burdockhitch.messages.vm_messages``.
+    """
+
+    vm_id: str
+    message_address: str
+    message: Any
+
+
+class Condition(NamedTuple):
+    """A row must have this version; 0 means that it must not exist."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Write(NamedTuple):
+    """A row to write."""
+
+    table: str
+    key: str
+    value: dict[str, Any]
+
+
+class RunTransaction(NamedTuple):
+    """Write rows in the platform's table service if all conditions hold."""
+
+    operation_id: str
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+
+
+class ReadRow(NamedTuple):
+    """Read a row of the platform's table service."""
+
+    operation_id: str
+    table: str
+    key: str
+
+
+class ReadObject(NamedTuple):
+    """Read an object of the platform's object store."""
+
+    operation_id: str
+    name: str
+
+
+class WriteObject(NamedTuple):
+    """Write an object of the platform's object store."""
+
+    operation_id: str
+    name: str
+    body: bytes
+
+
+class ListVms(NamedTuple):
+    """Read the platform's list of live and leaving VMs."""
+
+    operation_id: str
+
+
+class LogEvent(NamedTuple):
+    """Write a structured line to the log.
+
+    Attributes:
+        level: Name of a loguru level.
+        event: Name of the event.
+        fields: Names and values.
+    """
+
+    level: str
+    event: str
+    fields: dict[str, Any]
+
+
+class StopProcess(NamedTuple):
+    """Close the listeners and end the process."""
--- /dev/null
+++ b/burdockhitch/events.py
@@ -0,0 +1,141 @@
+"""Events that adapters put into the inbox."""
+
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from burdockhitch.messages import Answer, RequestMessage
+from burdockhitch.tables.timers import TimerKind
+
+
+class AttemptFailure(StrEnum):
+    """Why an attempt brought no whole answer."""
+
+    NOT_SENT = "not_sent"
+    SHED = "shed"
+    TIMED_OUT = "timed_out"
+    BROKEN = "broken"
+
+
+NOT_RUN_FAILURES = frozenset({AttemptFailure.NOT_SENT, AttemptFailure.SHED})
+
+
+class CallerRequestArrived(NamedTuple):
+    """A caller sent a whole request.
+
+    Attributes:
+        connection_id: Caller's connection.
+        request: What the caller asked.
+        key: Idempotency key, empty when there is none.
+        timeout_s: Time the caller waits; 0 when it does not say.
+    """
+
+    connection_id: int
+    request: RequestMessage
+    key: str
+    timeout_s: float
+
+
+class CallerGone(NamedTuple):
+    """A caller closed its connection before the answer."""
+
+    connection_id: int
+
+
+class AddressesAsked(NamedTuple):
+    """A caller asked which addresses to use.
+
+    Attributes:
+        connection_id: Caller's connection.
+        service: Service it wants to use.
+        account: Caller account.
+        zone: Availability zone of the caller, empty when it does not say.
+    """
+
+    connection_id: int
+    service: str
+    account: str
+    zone: str
+
+
+class BackendAnswered(NamedTuple):
+    """A backend server answered whole."""
+
+    attempt_id: int
+    answer: Answer
+
+
+class BackendFailed(NamedTuple):
+    """A backend server did not answer whole."""
+
+    attempt_id: int
+    failure: AttemptFailure
+
+
+class ServerProbed(NamedTuple):
+    """A probe of a backend server ended."""
+
+    server_id: str
+    is_ok: bool
+
+
+class VmMessageArrived(NamedTuple):
+    """Another VM sent a message.
+
+    Attributes:
+        sender_vm_id: Sender.
+        message: One of ``burdockhitch.messages.vm_messages``.
+    """
+
+    sender_vm_id: str
+    message: Any
+
+
+class PlatformReplied(NamedTuple):
+    """The platform answered, or gave no answer.
+
+    Attributes:
+        operation_id: Operation.
+        error: Type of the failure, None for success.
+        document: Decoded answer.
+    """
+
+    operation_id: str
+    error: type[Exception] | None
+    document: Any
+
+
+class TimerFired(NamedTuple):
+    """A timer is due."""
+
+    kind: TimerKind
+    subject: str
+
+
+class StopRequested(NamedTuple):
+    """The process was asked to stop."""
+
+
+class ViewChanged(NamedTuple):
+    """A VM joined, left, died or came back in the membership view."""
+
+    vm_id: str
+
+
+class RevisionApplied(NamedTuple):
+    """Another revision came in force on this VM."""
+
+    number: int
+
+
+class ServerSampled(NamedTuple):
+    """An attempt ended, for the health of its backend server.
+
+    Attributes:
+        server_id: Backend server.
+        is_error: Whether the answer was wrong or missing.
+        latency_s: Time from the sending to the end.
+    """
+
+    server_id: str
+    is_error: bool
+    latency_s: float
--- /dev/null
+++ b/burdockhitch/problems.py
@@ -0,0 +1,136 @@
+"""Maps each refusal to the status and problem document that callers get.
+
+The document follows RFC 9457. The outcome is one of two and never a third.
+"""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import NamedTuple, TypedDict
+
+from burdockhitch import errors
+from burdockhitch.errors import RequestRefusedError, error_name
+from burdockhitch.messages import Refusal
+from burdockhitch.registry import Registry
+
+OUTCOME_NOT_RUN = "not-run"
+OUTCOME_UNKNOWN = "outcome-unknown"
+TYPE_PREFIX = "urn:burdockhitch:problem:"
+
+
+class Problem(NamedTuple):
+    """How one error type is shown.
+
+    Attributes:
+        error_type: Error type.
+        status: HTTP status.
+        title: Short text for people.
+        proxy_error: Error type of RFC 9209 for ``Proxy-Status``.
+    """
+
+    error_type: type[RequestRefusedError]
+    status: HTTPStatus
+    title: str
+    proxy_error: str
+
+
+class ProblemDocument(TypedDict):
+    """Body of a refusal."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    instance: str
+    outcome: str
+
+
+problems: Registry[Problem] = Registry("problem")
+
+
+def _register(
+    error_type: type[RequestRefusedError],
+    status: HTTPStatus,
+    title: str,
+    proxy_error: str = "http_request_denied",
+) -> None:
+    register: Callable[[Problem], Problem] = problems(error_name(error_type))
+    register(Problem(error_type, status, title, proxy_error))
+
+
+_register(errors.RouteNotFoundError, HTTPStatus.NOT_FOUND, "No such route")
+_register(
+    errors.HomeTokenRequiredError,
+    HTTPStatus.PRECONDITION_REQUIRED,
+    "A key with a token is required",
+)
+_register(
+    errors.KeyRequiredError, HTTPStatus.PRECONDITION_REQUIRED, "A key is required"
+)
+_register(
+    errors.KeyReusedError,
+    HTTPStatus.UNPROCESSABLE_ENTITY,
+    "The key belongs to another request",
+)
+_register(
+    errors.BodyTooLargeError,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    "The body is too large",
+)
+_register(
+    errors.RateLimitedError, HTTPStatus.TOO_MANY_REQUESTS, "The account is over rate"
+)
+_register(errors.OverloadedError, HTTPStatus.SERVICE_UNAVAILABLE, "No slot came free")
+_register(
+    errors.DeadlineTooShortError,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    "The deadline is too short",
+)
+_register(
+    errors.NoBackendServerError,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    "No backend server can be reached",
+    "destination_unavailable",
+)
+_register(
+    errors.PlatformClaimError,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    "The key can't be recorded",
+)
+_register(errors.NotReadyError, HTTPStatus.SERVICE_UNAVAILABLE, "No configuration yet")
+_register(
+    errors.AnswerLostError,
+    HTTPStatus.GATEWAY_TIMEOUT,
+    "No whole answer came back",
+    "http_response_incomplete",
+)
+_register(
+    errors.HomeGoneError, HTTPStatus.GATEWAY_TIMEOUT, "The record of the key is gone"
+)
+_register(errors.ClaimHeldError, HTTPStatus.CONFLICT, "The key is claimed")
+
+
+def is_not_run(error: str) -> bool:
+    """Return whether a registered refusal proves that nothing ran.
+
+    Raises:
+        UnknownNameError: If no problem of this name is registered.
+    """
+    return issubclass(problems[error].error_type, errors.NotRunError)
+
+
+def outcome_of(error: str) -> str:
+    """Return the outcome that a refusal states."""
+    return OUTCOME_NOT_RUN if is_not_run(error) else OUTCOME_UNKNOWN
+
+
+def make_document(refusal: Refusal, request_id: str) -> ProblemDocument:
+    """Return the problem document of a refusal."""
+    problem = problems[refusal.error]
+    return ProblemDocument(
+        type=TYPE_PREFIX + refusal.error,
+        title=problem.title,
+        status=int(problem.status),
+        detail=refusal.detail,
+        instance=request_id,
+        outcome=outcome_of(refusal.error),
+    )
--- /dev/null
+++ b/burdockhitch/rules/kinds.py
@@ -0,0 +1,146 @@
+"""The kinds of rules, each registered with the function that reads it."""
+
+import re
+import zoneinfo
+from collections.abc import Callable
+from typing import Any
+
+from burdockhitch.registry import Registry
+from burdockhitch.rules import options
+from burdockhitch.rules.lines import RuleLine, Word
+from burdockhitch.tables.backend_servers import BackendServerRow
+from burdockhitch.tables.routes import LimitRow, RouteRow, WindowRow
+from burdockhitch.tables.services import ServiceRow
+
+METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH")
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+HEALTH_PROFILES = ("detection_first", "few_false_ejections")
+ONCE_WAYS = ("none", "home", "claim")
+MINUTES_PER_DAY = 24 * 60
+_HOURS = re.compile(r"([01]\d|2[0-3]):([0-5]\d)-([01]\d|2[0-3]):([0-5]\d)")
+
+RuleReader = Callable[[RuleLine], Any]
+rule_kinds: Registry[RuleReader] = Registry("kind of rule")
+
+
+@rule_kinds("service")
+def read_service(rule: RuleLine) -> ServiceRow:
+    """Read ``service NAME floor=8slots health=... queue=300ms``."""
+    found = options.split_options(rule, 2, ("floor", "health", "queue"))
+    profile = found.optional("health", "detection_first")
+    queue = found.optional("queue", "300ms")
+    return ServiceRow(
+        service=options.read_name(rule.line, rule.words[1]),
+        floor_slots=options.read_slots(rule.line, found.required("floor", "8slots")),
+        health_profile=options.choose(rule.line, profile, HEALTH_PROFILES),
+        queue_timeout_s=options.read_duration_s(rule.line, queue),
+        requester=rule.requester,
+        line=rule.line,
+    )
+
+
+@rule_kinds("server")
+def read_server(rule: RuleLine) -> BackendServerRow:
+    """Read ``server SERVICE IP:PORT zone=... slots=4 connections=400 state=...``."""
+    known = ("zone", "slots", "connections", "state")
+    found = options.split_options(rule, 3, known)
+    service = options.read_name(rule.line, rule.words[1])
+    address = options.read_address(rule.line, rule.words[2])
+    connections = found.optional("connections", "400")
+    state = found.optional("state", "serving")
+    return BackendServerRow(
+        server_id=f"{service}/{address}",
+        service=service,
+        address=address,
+        zone=options.read_name(rule.line, found.required("zone", "a")),
+        n_slots=options.read_count(rule.line, found.required("slots", "4")),
+        n_connections_max=options.read_count(rule.line, connections),
+        is_draining=options.choose(rule.line, state, ("serving", "draining"))
+        == "draining",
+        requester=rule.requester,
+        line=rule.line,
+    )
+
+
+def _read_path(line: int, word: Word) -> str:
+    path = word.text
+    is_prefix = path.endswith("/*")
+    if not path.startswith("/") or ("*" in path and not is_prefix):
+        raise options.unexpected(line, word, "a path as /a/b or a prefix as /a/*")
+    return path
+
+
+@rule_kinds("route")
+def read_route(rule: RuleLine) -> RouteRow:
+    """Read ``route SERVICE METHOD PATH idempotent=... once=... timeout=2s``."""
+    known = ("idempotent", "once", "timeout", "priority")
+    found = options.split_options(rule, 4, known)
+    method = options.choose(rule.line, rule.words[2], METHODS)
+    path = _read_path(rule.line, rule.words[3])
+    default = "yes" if method in IDEMPOTENT_METHODS else "no"
+    idempotent = found.optional("idempotent", default)
+    is_idempotent = options.choose(rule.line, idempotent, ("yes", "no")) == "yes"
+    once = options.choose(rule.line, found.optional("once", "none"), ONCE_WAYS)
+    if is_idempotent and once != "none":
+        word = found.values["once"]
+        raise options.unexpected(rule.line, word, "once=none on an idempotent route")
+    timeout = found.optional("timeout", "10s")
+    priority = found.optional("priority", "5" if is_idempotent else "1")
+    return RouteRow(
+        route_id=f"{method} {path}",
+        service=options.read_name(rule.line, rule.words[1]),
+        method=method,
+        path=path,
+        is_idempotent=is_idempotent,
+        once=once,
+        timeout_s=options.read_duration_s(rule.line, timeout),
+        priority=options.read_count(rule.line, priority),
+        requester=rule.requester,
+        line=rule.line,
+    )
+
+
+@rule_kinds("limit")
+def read_limit(rule: RuleLine) -> LimitRow:
+    """Read ``limit ACCOUNT rate=20/s burst=40``."""
+    found = options.split_options(rule, 2, ("rate", "burst"))
+    account = rule.words[1]
+    if account.text != "*":
+        options.read_name(rule.line, account)
+    return LimitRow(
+        account=account.text,
+        rate_per_s=options.read_rate_per_s(rule.line, found.required("rate", "20/s")),
+        burst=options.read_count(rule.line, found.required("burst", "40")),
+        requester=rule.requester,
+        line=rule.line,
+    )
+
+
+@rule_kinds("window")
+def read_window(rule: RuleLine) -> WindowRow:
+    """Read ``window SERVICE 17:30-21:00 tz=... floor=16slots load=40/s``."""
+    found = options.split_options(rule, 3, ("tz", "floor", "load"))
+    service = options.read_name(rule.line, rule.words[1])
+    hours = rule.words[2]
+    match = _HOURS.fullmatch(hours.text)
+    if match is None:
+        raise options.unexpected(rule.line, hours, "hours as in 17:30-21:00")
+    time_zone = found.required("tz", "Europe/Stockholm")
+    zones = zoneinfo.available_timezones()
+    if time_zone.text not in zones:
+        expected = "a time zone, as in Europe/Stockholm"
+        raise options.unexpected(rule.line, time_zone, expected, sorted(zones))
+    start, end = (int(match[i]) * 60 + int(match[i + 1]) for i in (1, 3))
+    return WindowRow(
+        window_id=f"{service} {hours.text}",
+        service=service,
+        start_minute=start,
+        end_minute=end,
+        time_zone=time_zone.text,
+        floor_slots=options.read_slots(rule.line, found.required("floor", "16slots")),
+        load_requests_per_s=options.read_rate_per_s(
+            rule.line, found.required("load", "40/s")
+        ),
+        requester=rule.requester,
+        line=rule.line,
+    )
--- /dev/null
+++ b/burdockhitch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and backend servers, for tests and demos."""
--- /dev/null
+++ b/burdockhitch/standins/platform.py
@@ -0,0 +1,174 @@
+"""Stand-in for the platform: table service, object store and VM list.
+
+``PUT /faults`` sets faults; ``PUT /vms`` sets the list of VMs.
+"""
+
+from typing import Any, NamedTuple, TypedDict
+
+import msgspec
+from klein import Klein
+from twisted.internet.task import deferLater
+
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+
+
+class StoredRow(NamedTuple):
+    """A row and its version, from 1."""
+
+    version: int
+    value: Any
+
+
+class Faults(TypedDict):
+    """Faults in force.
+
+    Attributes:
+        is_down: Whether every request fails without effect.
+        delay_s: Delay of every answer.
+        n_lost_replies: Writes that take effect and whose answer is lost.
+    """
+
+    is_down: bool
+    delay_s: float
+    n_lost_replies: int
+
+
+class Store:
+    """Rows and objects; the same rules serve the stand-in and the fakes."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.objects: dict[str, bytes] = {}
+        self.vms: list[Any] = []
+        self.n_reads = 0
+        self.n_writes = 0
+
+    def read_row(self, table: str, key: str) -> StoredRow | None:
+        """Return a row, if there is one."""
+        self.n_reads += 1
+        return self.rows.get((table, key))
+
+    def read_table(self, table: str) -> dict[str, StoredRow]:
+        """Return all rows of a table by key."""
+        self.n_reads += 1
+        return {key: row for (name, key), row in self.rows.items() if name == table}
+
+    def run_transaction(self, conditions: list[Any], writes: list[Any]) -> bool:
+        """Write all rows if all conditions hold.
+
+        Returns:
+            Whether the rows were written.
+        """
+        self.n_writes += 1
+        for condition in conditions:
+            row = self.rows.get((condition["table"], condition["key"]))
+            if (row.version if row else 0) != condition["version"]:
+                return False
+        for write in writes:
+            key = (write["table"], write["key"])
+            old = self.rows.get(key)
+            version = old.version + 1 if old else 1
+            self.rows[key] = StoredRow(version, write["value"])
+        return True
+
+
+class PlatformStandin:
+    """HTTP in front of a store.
+
+    Args:
+        reactor: Twisted reactor, for delays.
+    """
+
+    app = Klein()
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self.store = Store()
+        self.faults = Faults(is_down=False, delay_s=0.0, n_lost_replies=0)
+
+    @app.route("/faults", methods=["PUT"])
+    def set_faults(self, request: Any) -> bytes:
+        """Change the faults in force."""
+        self.faults.update(msgspec.json.decode(request.content.read()))
+        return msgspec.json.encode(self.faults)
+
+    @app.route("/statistics", methods=["GET"])
+    def statistics(self, request: Any) -> bytes:
+        """Return how many reads and writes there were."""
+        counts = {"n_reads": self.store.n_reads, "n_writes": self.store.n_writes}
+        return msgspec.json.encode(counts)
+
+    @app.route("/vms", methods=["GET"])
+    def list_vms(self, request: Any) -> Any:
+        """Return the list of VMs."""
+        self.store.n_reads += 1
+        return self._answer(request, 200, {"vms": self.store.vms})
+
+    @app.route("/vms", methods=["PUT"])
+    def set_vms(self, request: Any) -> bytes:
+        """Replace the list of VMs."""
+        self.store.vms = msgspec.json.decode(request.content.read())
+        return b"{}"
+
+    @app.route("/tables/<string:table>/rows/<path:key>", methods=["GET"])
+    def read_row(self, request: Any, table: str, key: str) -> Any:
+        """Return a row and its version."""
+        if self.faults["is_down"]:
+            return self._answer(request, STATUS_UNAVAILABLE, {})
+        row = self.store.read_row(table, key)
+        if row is None:
+            return self._answer(request, STATUS_NOT_FOUND, {})
+        return self._answer(request, 200, row._asdict())
+
+    @app.route("/tables/<string:table>/rows", methods=["GET"])
+    def read_table(self, request: Any, table: str) -> Any:
+        """Return all rows of a table."""
+        if self.faults["is_down"]:
+            return self._answer(request, STATUS_UNAVAILABLE, {})
+        rows = self.store.read_table(table)
+        document = {key: row._asdict() for key, row in rows.items()}
+        return self._answer(request, 200, document)
+
+    @app.route("/transactions", methods=["POST"])
+    def run_transaction(self, request: Any) -> Any:
+        """Write rows if all conditions hold."""
+        if self.faults["is_down"]:
+            return self._answer(request, STATUS_UNAVAILABLE, {})
+        document = msgspec.json.decode(request.content.read())
+        is_done = self.store.run_transaction(document["conditions"], document["writes"])
+        if is_done and self.faults["n_lost_replies"] > 0:
+            self.faults["n_lost_replies"] -= 1
+            return self._answer(request, STATUS_UNAVAILABLE, {})
+        return self._answer(request, 200 if is_done else STATUS_CONFLICT, {})
+
+    @app.route("/objects/<path:name>", methods=["GET"])
+    def read_object(self, request: Any, name: str) -> Any:
+        """Return an object."""
+        if self.faults["is_down"]:
+            return self._answer(request, STATUS_UNAVAILABLE, {})
+        self.store.n_reads += 1
+        body = self.store.objects.get(name)
+        if body is None:
+            return self._answer(request, STATUS_NOT_FOUND, {})
+        return body
+
+    @app.route("/objects/<path:name>", methods=["PUT"])
+    def write_object(self, request: Any, name: str) -> Any:
+        """Write an object."""
+        if self.faults["is_down"]:
+            return self._answer(request, STATUS_UNAVAILABLE, {})
+        self.store.n_writes += 1
+        self.store.objects[name] = request.content.read()
+        return self._answer(request, 200, {})
+
+    def _answer(self, request: Any, status: int, document: Any) -> Any:
+        if self.faults["is_down"]:
+            status = STATUS_UNAVAILABLE
+            document = {}
+        request.setResponseCode(status)
+        body = msgspec.json.encode(document)
+        if not self.faults["delay_s"]:
+            return body
+        return deferLater(self._reactor, self.faults["delay_s"], lambda: body)
--- /dev/null
+++ b/burdockhitch/standins/run.py
@@ -0,0 +1,29 @@
+"""Runs stand-ins as processes."""
+
+from typing import Any
+
+from twisted.web.server import Site
+
+from burdockhitch.adapters.daemon import listen
+from burdockhitch.standins.platform import PlatformStandin
+from burdockhitch.standins.server import ServerStandin
+
+
+def run_platform(address: str) -> None:
+    """Run the platform's stand-in until a signal ends it."""
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    listen(loop, address, Site(PlatformStandin(loop).app.resource()))
+    loop.run()
+
+
+def run_servers(addresses: list[str], n_slots: int, seed: int) -> None:
+    """Run several backend servers in one process until a signal ends it."""
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    for number, address in enumerate(addresses):
+        standin = ServerStandin(loop, n_slots, address, seed + number)
+        listen(loop, address, Site(standin.app.resource()))
+    loop.run()
--- /dev/null
+++ b/burdockhitch/systems/admission.py
@@ -0,0 +1,63 @@
+"""Decides whether an accepted request may be routed."""
+
+from collections.abc import Callable
+
+from burdockhitch.clock import Instant
+from burdockhitch.errors import RateLimitedError
+from burdockhitch.registry import Registry
+from burdockhitch.systems.endings import advance, make_refusal, refuse_request
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.tables.requests import RequestRow, RequestState
+from burdockhitch.tables.routes import BucketRow, LimitRow
+from burdockhitch.tables.vms import VmStatus
+from burdockhitch.world import World
+
+OnceWay = Callable[[World, RequestRow, Instant], None]
+once_ways: Registry[OnceWay] = Registry("way to run a request at most once")
+
+
+@once_ways("none")
+def admit_unkeyed(world: World, row: RequestRow, now: Instant) -> None:
+    """Admit a request without a record of its key."""
+    advance(world, row, "admit", now)
+
+
+def _find_limit(world: World, account: str) -> LimitRow | None:
+    return world.limits.get(account) or world.limits.get("*")
+
+
+def _refill(world: World, limit: LimitRow, account: str, now: Instant) -> BucketRow:
+    n_vms = max(1, world.vms.count("status", VmStatus.ALIVE))
+    burst = max(1.0, limit.burst / n_vms)
+    bucket = world.buckets.get(account)
+    if bucket is None:
+        return BucketRow(account, burst, now.monotonic_s)
+    elapsed_s = now.monotonic_s - bucket.filled_at_s
+    n_tokens = bucket.n_tokens + elapsed_s * limit.rate_per_s / n_vms
+    return BucketRow(account, min(burst, n_tokens), now.monotonic_s)
+
+
+def _is_within_limit(world: World, row: RequestRow, now: Instant) -> bool:
+    account = row.message.account
+    limit = _find_limit(world, account)
+    if limit is None or row.origin_vm_id:
+        return True
+    bucket = _refill(world, limit, account, now)
+    is_within = bucket.n_tokens >= 1.0
+    n_tokens = bucket.n_tokens - 1.0 if is_within else bucket.n_tokens
+    world.buckets.put(bucket._replace(n_tokens=n_tokens))
+    return is_within
+
+
+@system(Phase.ADMISSION)
+def admit_requests(world: World, now: Instant) -> None:
+    """Apply the rate limits and the registered way of the route."""
+    for row in world.requests.select("state", RequestState.ACCEPTED):
+        if _is_within_limit(world, row, now):
+            once_ways[row.once](world, row, now)
+            continue
+        limit = _find_limit(world, row.message.account)
+        detail = f"account {row.message.account} is over its rate"
+        retry_after_s = 1.0 / limit.rate_per_s if limit else 1.0
+        refusal = make_refusal(RateLimitedError, detail, retry_after_s)
+        refuse_request(world, row, refusal, now)
--- /dev/null
+++ b/burdockhitch/systems/answers.py
@@ -0,0 +1,144 @@
+"""Takes what backend servers answered, and ends or retries the request."""
+
+from burdockhitch import events
+from burdockhitch.clock import Instant
+from burdockhitch.errors import (
+    AnswerLostError,
+    DeadlineTooShortError,
+    NoBackendServerError,
+)
+from burdockhitch.events import NOT_RUN_FAILURES, AttemptFailure
+from burdockhitch.messages import Answer, Refusal
+from burdockhitch.systems.capacity import release_slot
+from burdockhitch.systems.endings import (
+    advance,
+    answer_request,
+    lose_request,
+    make_refusal,
+    refuse_request,
+)
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.retries import earn_retry, may_retry, spend_retry
+from burdockhitch.systems.timing import timer_handlers
+from burdockhitch.tables.requests import AttemptRow, RequestRow, RequestState
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import World, count, post_event, take_events
+
+SERVER_ERRORS = frozenset({500, 502, 504})
+RETRY_AFTER_S = 1.0
+
+
+def _sample(world: World, attempt: AttemptRow, is_error: bool, now: Instant) -> None:
+    latency_s = now.monotonic_s - attempt.started_at_s
+    post_event(world, events.ServerSampled(attempt.server_id, is_error, latency_s))
+
+
+def _take_attempt(
+    world: World, attempt_id: int
+) -> tuple[AttemptRow, RequestRow] | None:
+    attempt = world.attempts.get(attempt_id)
+    if attempt is None:
+        count(world, "answers_dropped", "reason", "late")
+        return None
+    world.attempts.remove(attempt_id)
+    release_slot(world, attempt.server_id)
+    row = world.requests.fetch(attempt.request_id)._replace(attempt_id=0)
+    world.requests.replace(row)
+    return attempt, row
+
+
+def _retry(world: World, row: RequestRow, now: Instant) -> None:
+    spend_retry(world, row)
+    has_server = any(
+        slot.server_id not in row.tried
+        for slot in world.slots.select("service", row.service)
+    )
+    event = "requeue" if has_server or not row.is_routable else "retry"
+    advance(world, row, event, now)
+
+
+def _can_retry(world: World, row: RequestRow, now: Instant) -> bool:
+    if not may_retry(world, row, now):
+        return False
+    slots = world.slots.select("service", row.service)
+    has_server = any(slot.server_id not in row.tried for slot in slots)
+    return has_server or row.is_routable
+
+
+@system(Phase.ANSWERS)
+def take_answers(world: World, now: Instant) -> None:
+    """End every request whose backend server answered whole."""
+    for event in take_events(world, events.BackendAnswered):
+        found = _take_attempt(world, event.attempt_id)
+        if found is None:
+            continue
+        attempt, row = found
+        is_error = event.answer.status in SERVER_ERRORS
+        _sample(world, attempt, is_error, now)
+        _take_answer(world, row, event.answer, is_error, now)
+
+
+def _take_answer(
+    world: World, row: RequestRow, answer: Answer, is_error: bool, now: Instant
+) -> None:
+    if is_error and row.is_idempotent and _can_retry(world, row, now):
+        _retry(world, row, now)
+        return
+    if not is_error:
+        earn_retry(world, row.service)
+    answer_request(world, row, answer, now)
+
+
+@system(Phase.ANSWERS)
+def take_failures(world: World, now: Instant) -> None:
+    """End or retry every request whose attempt failed."""
+    for event in take_events(world, events.BackendFailed):
+        found = _take_attempt(world, event.attempt_id)
+        if found is None:
+            continue
+        attempt, row = found
+        count(world, "attempts_failed", "failure", event.failure)
+        if event.failure is not AttemptFailure.SHED:
+            _sample(world, attempt, True, now)
+        _take_failure(world, row, event.failure, now)
+
+
+def _take_failure(
+    world: World, row: RequestRow, failure: AttemptFailure, now: Instant
+) -> None:
+    not_run = failure in NOT_RUN_FAILURES
+    if (not_run or row.is_idempotent) and _can_retry(world, row, now):
+        _retry(world, row, now)
+    elif not_run:
+        detail = f"the backend server did not take the request: {failure.value}"
+        refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+    else:
+        detail = f"the backend server did not answer whole: {failure.value}"
+        lose_request(world, row, make_refusal(AnswerLostError, detail), now)
+
+
+def _refuse_late(row: RequestRow) -> Refusal:
+    detail = f"the deadline passed while the request was {row.state.value}"
+    return make_refusal(DeadlineTooShortError, detail, RETRY_AFTER_S)
+
+
+@timer_handlers(TimerKind.DEADLINE)
+def end_late_request(world: World, request_id: str, now: Instant) -> None:
+    """End a request at its deadline, by how far it got."""
+    row = world.requests.get(request_id)
+    if row is None:
+        return
+    if row.attempt_id:
+        attempt = world.attempts.fetch(row.attempt_id)
+        _sample(world, attempt, True, now)
+    is_sent = row.state in (
+        RequestState.DISPATCHED,
+        RequestState.FORWARDED,
+        RequestState.AT_HOME,
+    )
+    if is_sent:
+        detail = f"the deadline passed while the request was {row.state.value}"
+        lose_request(world, row, make_refusal(AnswerLostError, detail), now)
+    else:
+        refuse_request(world, row, _refuse_late(row), now)
--- /dev/null
+++ b/burdockhitch/systems/capacity.py
@@ -0,0 +1,79 @@
+"""Counts slots in use here and free slots on the other owners."""
+
+from burdockhitch.messages import LoadReport
+from burdockhitch.tables.backend_servers import CapacityRow, SlotRow
+from burdockhitch.tables.health_signals import ServerState
+from burdockhitch.tables.requests import RequestRow, RequestState
+from burdockhitch.world import World
+
+USABLE_STATES = frozenset(
+    {ServerState.HEALTHY, ServerState.SUSPECT, ServerState.RECOVERING}
+)
+
+
+def take_slot(world: World, server_id: str) -> None:
+    """Count one more request in flight to a backend server."""
+    row = world.slots.fetch(server_id)
+    world.slots.replace(row._replace(n_in_flight=row.n_in_flight + 1))
+
+
+def release_slot(world: World, server_id: str) -> None:
+    """Count one request less in flight to a backend server."""
+    row = world.slots.get(server_id)
+    if row is None:
+        return
+    row = row._replace(n_in_flight=row.n_in_flight - 1)
+    ownership = world.ownerships.get(server_id)
+    is_owned = ownership is not None and ownership.owner_vm_id == world.local.vm_id
+    if row.n_in_flight <= 0 and not is_owned:
+        world.slots.remove(server_id)
+    else:
+        world.slots.replace(row)
+
+
+def free_slots(world: World, row: SlotRow) -> int:
+    """Return how many more requests a backend server may get from here now."""
+    health = world.health_signals.get(row.server_id)
+    if health is None or health.state not in USABLE_STATES:
+        return 0
+    return max(0, row.n_usable - row.n_in_flight)
+
+
+def count_free(world: World, service: str) -> int:
+    """Return the free slots of a service on this VM."""
+    rows = world.slots.select("service", service)
+    return sum(free_slots(world, row) for row in rows)
+
+
+def report_load(world: World, service: str) -> LoadReport:
+    """Return what other VMs should know about a service's slots here.
+
+    Requests that wait for a slot count against the free ones.
+    """
+    n_queued = sum(
+        1
+        for row in world.requests.select("state", RequestState.QUEUED)
+        if row.service == service
+    )
+    return LoadReport(service, count_free(world, service) - n_queued)
+
+
+def note_load(world: World, vm_id: str, load: LoadReport) -> None:
+    """Store what another owner reported."""
+    row = world.capacities.get((load.service, vm_id))
+    if row is not None:
+        world.capacities.replace(row._replace(n_free=load.n_free))
+
+
+def reserve_forward(world: World, capacity: CapacityRow) -> None:
+    """Count a request that was forwarded against the owner's free slots."""
+    world.capacities.replace(capacity._replace(n_free=capacity.n_free - 1))
+
+
+def release_forward(world: World, row: RequestRow) -> None:
+    """Give back the slot that a forwarded request counted against."""
+    capacity = world.capacities.get((row.service, row.owner_vm_id))
+    if capacity is None:
+        return
+    n_free = min(capacity.n_slots, capacity.n_free + 1)
+    world.capacities.replace(capacity._replace(n_free=n_free))
--- /dev/null
+++ b/burdockhitch/systems/claims.py
@@ -0,0 +1,196 @@
+"""Claims a caller's own idempotency key in the platform's table service.
+
+The claim is a conditional insert before anything is sent. A lost reply is
+settled by reading the claim back.
+"""
+
+import base64
+from typing import Any, TypedDict
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.errors import (
+    ClaimHeldError,
+    KeyRequiredError,
+    KeyReusedError,
+    PlatformClaimError,
+    PlatformConflictError,
+    PlatformNotFoundError,
+)
+from burdockhitch.messages import Answer
+from burdockhitch.systems.admission import once_ways
+from burdockhitch.systems.endings import (
+    Ending,
+    advance,
+    answer_request,
+    ending_hooks,
+    lose_request,
+    make_refusal,
+    refuse_request,
+)
+from burdockhitch.systems.home import fingerprint, record_id
+from burdockhitch.systems.timing import reply_handlers
+from burdockhitch.tables.requests import RequestRow, RequestState
+from burdockhitch.tables.revisions import OperationRow
+from burdockhitch.world import World, count, send, start_operation
+
+CLAIMS_TABLE = "claims"
+KEPT_BODY_MAX_BYTES = 16 * 1024
+RETRY_AFTER_S = 1.0
+
+
+class ClaimDocument(TypedDict):
+    """A claim in the table service.
+
+    Attributes:
+        request_id: Request that holds the claim.
+        fingerprint: Hash of method, path and body.
+        state: ``open``, ``answered``, ``unknown`` or ``not_run``.
+        status: HTTP status, 0 unless answered.
+        headers: Headers of the answer.
+        body: Body of the answer in base 64.
+    """
+
+    request_id: str
+    fingerprint: str
+    state: str
+    status: int
+    headers: list[list[str]]
+    body: str
+
+
+def _open_claim(row: RequestRow) -> ClaimDocument:
+    return ClaimDocument(
+        request_id=row.request_id,
+        fingerprint=fingerprint(row.message),
+        state="open",
+        status=0,
+        headers=[],
+        body="",
+    )
+
+
+def _insert(world: World, row: RequestRow, version: int, now: Instant) -> None:
+    world.requests.replace(row._replace(claim_version=version + 1))
+    operation_id = start_operation(world, "claim_insert", row.request_id, now)
+    condition = commands.Condition(CLAIMS_TABLE, record_id(row), version)
+    value: Any = _open_claim(row)
+    write = commands.Write(CLAIMS_TABLE, record_id(row), value)
+    send(world, commands.RunTransaction(operation_id, (condition,), (write,)))
+
+
+def _read(world: World, row: RequestRow, now: Instant) -> None:
+    operation_id = start_operation(world, "claim_read", row.request_id, now)
+    send(world, commands.ReadRow(operation_id, CLAIMS_TABLE, record_id(row)))
+
+
+@once_ways("claim")
+def admit_claimed(world: World, row: RequestRow, now: Instant) -> None:
+    """Ask the platform to record the key."""
+    if not row.key:
+        detail = "the route needs an Idempotency-Key"
+        refuse_request(world, row, make_refusal(KeyRequiredError, detail), now)
+        return
+    row = advance(world, row, "claim", now)
+    _insert(world, row, 0, now)
+
+
+def _claiming_request(world: World, operation: OperationRow) -> RequestRow | None:
+    row = world.requests.get(operation.subject)
+    if row is None or row.state is not RequestState.CLAIMING:
+        return None
+    return row
+
+
+@reply_handlers("claim_insert")
+def take_insert_reply(
+    world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
+) -> None:
+    """Admit the request, or find out who holds the claim."""
+    row = _claiming_request(world, operation)
+    if row is None:
+        return
+    if event.error is None:
+        advance(world, row, "admit", now)
+        return
+    if event.error is not PlatformConflictError:
+        count(world, "claim_replies_lost")
+    _read(world, row, now)
+
+
+@reply_handlers("claim_read")
+def take_read_reply(
+    world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
+) -> None:
+    """Settle a claim whose insertion failed or was not answered."""
+    row = _claiming_request(world, operation)
+    if row is None:
+        return
+    if event.error is PlatformNotFoundError:
+        _insert(world, row, 0, now)
+    elif event.error is not None:
+        detail = "the platform can't record the key"
+        refusal = make_refusal(PlatformClaimError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+    else:
+        claim: ClaimDocument = event.document["value"]
+        _settle(world, row, claim, event.document["version"], now)
+
+
+def _settle(
+    world: World, row: RequestRow, claim: ClaimDocument, version: int, now: Instant
+) -> None:
+    if claim["request_id"] == row.request_id:
+        row = row._replace(claim_version=version)
+        advance(world, row, "admit", now)
+    elif claim["fingerprint"] != fingerprint(row.message):
+        detail = "the key was used for another request"
+        row = row._replace(claim_version=0)
+        refuse_request(world, row, make_refusal(KeyReusedError, detail), now)
+    elif claim["state"] == "not_run":
+        _insert(world, row, version, now)
+    elif claim["state"] == "answered":
+        row = row._replace(claim_version=0)
+        answer_request(world, row, _kept_answer(claim), now)
+    else:
+        detail = f"request {claim['request_id']} holds the key"
+        refusal = make_refusal(ClaimHeldError, detail, RETRY_AFTER_S)
+        lose_request(world, row._replace(claim_version=0), refusal, now)
+
+
+def _kept_answer(claim: ClaimDocument) -> Answer:
+    headers = tuple((name, value) for name, value in claim["headers"])
+    return Answer(claim["status"], headers, base64.b64decode(claim["body"]))
+
+
+@ending_hooks("claim")
+def record_outcome(world: World, row: RequestRow, ending: Ending, now: Instant) -> None:
+    """Write the outcome of a claimed request for retries of its caller."""
+    if not row.claim_version:
+        return
+    claim = _open_claim(row)
+    answer = ending.answer
+    if answer is not None and len(answer.body) <= KEPT_BODY_MAX_BYTES:
+        claim["state"] = "answered"
+        claim["status"] = answer.status
+        claim["headers"] = [list(header) for header in answer.headers]
+        claim["body"] = base64.b64encode(answer.body).decode("ascii")
+    elif ending.state is RequestState.REFUSED:
+        claim["state"] = "not_run"
+    else:
+        claim["state"] = "unknown"
+    operation_id = start_operation(world, "claim_outcome", row.request_id, now)
+    key = record_id(row)
+    value: Any = claim
+    condition = commands.Condition(CLAIMS_TABLE, key, row.claim_version)
+    write = commands.Write(CLAIMS_TABLE, key, value)
+    send(world, commands.RunTransaction(operation_id, (condition,), (write,)))
+
+
+@reply_handlers("claim_outcome")
+def take_outcome_reply(
+    world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
+) -> None:
+    """Count outcomes that could not be recorded; the claim stays open."""
+    if event.error is not None:
+        count(world, "claim_outcomes_lost")
--- /dev/null
+++ b/burdockhitch/systems/configuration.py
@@ -0,0 +1,179 @@
+"""Reads the head revision and the list of VMs from the platform.
+
+A few readers of each availability zone do it, chosen by rendezvous hashing. A
+wrong view costs a reading too many or a delay, never a wrong revision.
+"""
+
+from typing import TypedDict
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.errors import PlatformNotFoundError
+from burdockhitch.rules.document import hash_rules
+from burdockhitch.systems.membership import join_seeds
+from burdockhitch.systems.ownership import hash_score
+from burdockhitch.systems.permits import LISTING_READ
+from burdockhitch.systems.spread import apply_revision
+from burdockhitch.systems.timing import reply_handlers, timer_handlers
+from burdockhitch.tables.revisions import FailureRow, ListingRow, OperationRow
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmStatus
+from burdockhitch.world import (
+    World,
+    count,
+    current_revision,
+    post_event,
+    send,
+    start_operation,
+    start_timer,
+)
+
+REVISIONS_TABLE = "revisions"
+HEAD_KEY = "head"
+BACKOFF_MAX = 16
+JITTER_RATIO = 0.5
+
+
+class HeadDocument(TypedDict):
+    """The head revision in the table service.
+
+    Attributes:
+        number: Number of the revision, from 1.
+        body_hash: Name of the rules text in the object store.
+        parent_hash: Hash of the revision before.
+        operation_id: Operation that committed it.
+        pushed_by: Operator who pushed it.
+        pushed_at: Wall-clock time in ISO 8601.
+    """
+
+    number: int
+    body_hash: str
+    parent_hash: str
+    operation_id: str
+    pushed_by: str
+    pushed_at: str
+
+
+class ListedVm(TypedDict):
+    """One VM on the platform's list."""
+
+    vm_id: str
+    zone: str
+    state: str
+    message_address: str
+
+
+def start_configuration(world: World, now: Instant) -> None:
+    """Start to read the platform."""
+    start_timer(world, TimerKind.HEAD_READ, "", now.monotonic_s)
+    start_timer(world, TimerKind.VM_LIST_READ, "", now.monotonic_s)
+
+
+def is_reader(world: World, duty: str) -> bool:
+    """Return whether a duty on the platform falls on this VM."""
+    vms = [
+        vm.vm_id
+        for vm in world.vms.select("zone", world.local.zone)
+        if vm.status in (VmStatus.ALIVE, VmStatus.SUSPECT)
+    ]
+    ranked = sorted(vms, key=lambda vm_id: hash_score(vm_id, duty), reverse=True)
+    return world.local.vm_id in ranked[: world.settings.platform.n_readers]
+
+
+def _plan(world: World, kind: TimerKind, period_s: float, now: Instant) -> None:
+    n_failures = world.failures.get(kind)
+    backoff = min(BACKOFF_MAX, 2**n_failures.n_events) if n_failures else 1
+    jitter = 1 + JITTER_RATIO * (world.rng.random() - 0.5)
+    due_s = now.monotonic_s + period_s * backoff * jitter
+    start_timer(world, kind, "", due_s)
+
+
+def _note_result(
+    world: World, kind: TimerKind, error: type[Exception] | None, now: Instant
+) -> None:
+    row = world.failures.get(kind)
+    if error is None:
+        world.failures.discard(kind)
+        return
+    count(world, "platform_failures", "duty", kind)
+    n_events = row.n_events + 1 if row else 1
+    world.failures.put(FailureRow(kind, min(n_events, BACKOFF_MAX)))
+
+
+@timer_handlers(TimerKind.HEAD_READ)
+def read_head(world: World, _subject: str, now: Instant) -> None:
+    """Read the head revision if this VM is a reader or has no revision."""
+    period_s = world.settings.platform.head_read_period_s
+    _plan(world, TimerKind.HEAD_READ, period_s, now)
+    if is_reader(world, "head") or not current_revision(world):
+        operation_id = start_operation(world, "head_read", "", now)
+        send(world, commands.ReadRow(operation_id, REVISIONS_TABLE, HEAD_KEY))
+
+
+@reply_handlers("head_read")
+def take_head(
+    world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
+) -> None:
+    """Fetch the rules text of a head that is newer."""
+    is_missing = event.error is PlatformNotFoundError
+    error = None if is_missing else event.error
+    _note_result(world, TimerKind.HEAD_READ, error, now)
+    if event.error is not None:
+        return
+    head: HeadDocument = event.document["value"]
+    if head["number"] <= current_revision(world):
+        return
+    subject = f"{head['number']} {head['body_hash']}"
+    operation_id = start_operation(world, "body_read", subject, now)
+    send(world, commands.ReadObject(operation_id, head["body_hash"]))
+
+
+@reply_handlers("body_read")
+def take_body(
+    world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
+) -> None:
+    """Put a fetched revision in force."""
+    if event.error is not None:
+        count(world, "platform_failures", "duty", "body_read")
+        return
+    number, _, body_hash = operation.subject.partition(" ")
+    if hash_rules(event.document) != body_hash:
+        count(world, "revisions_dropped", "reason", "hash")
+        return
+    apply_revision(world, int(number), event.document, now)
+
+
+@timer_handlers(TimerKind.VM_LIST_READ)
+def read_vm_list(world: World, _subject: str, now: Instant) -> None:
+    """Read the list of VMs if this VM is a reader or knows no other VM."""
+    period_s = world.settings.platform.vm_list_period_s
+    _plan(world, TimerKind.VM_LIST_READ, period_s, now)
+    if is_reader(world, "vm_list") or len(world.vms) == 1:
+        operation_id = start_operation(world, "vm_list_read", "", now)
+        send(world, commands.ListVms(operation_id))
+
+
+@reply_handlers("vm_list_read")
+def take_vm_list(
+    world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
+) -> None:
+    """Store the list; it seeds the membership view and nothing else."""
+    _note_result(world, TimerKind.VM_LIST_READ, event.error, now)
+    if event.error is not None:
+        return
+    listed: list[ListedVm] = event.document["vms"]
+    world.listings.clear()
+    world.listings.insert(ListingRow(LISTING_READ, "", "", now.monotonic_s))
+    for vm in listed:
+        row = ListingRow(
+            vm["vm_id"], vm["state"], vm["message_address"], now.monotonic_s
+        )
+        world.listings.put(row)
+    _heed_own_state(world, now)
+    join_seeds(world, "", now)
+
+
+def _heed_own_state(world: World, now: Instant) -> None:
+    row = world.listings.get(world.local.vm_id)
+    if row is not None and row.state == "leaving":
+        post_event(world, events.StopRequested())
--- /dev/null
+++ b/burdockhitch/systems/dispatch.py
@@ -0,0 +1,88 @@
+"""Sends queued requests to free slots of the backend servers owned here."""
+
+from burdockhitch import commands
+from burdockhitch.clock import Instant
+from burdockhitch.errors import OverloadedError
+from burdockhitch.systems.capacity import free_slots, take_slot
+from burdockhitch.systems.endings import advance, make_refusal, refuse_request
+from burdockhitch.systems.health import weigh_server
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.timing import timer_handlers
+from burdockhitch.tables.backend_servers import SlotRow
+from burdockhitch.tables.requests import AttemptRow, RequestRow, RequestState
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import World, count, next_sequence, send, stop_timer
+
+RETRY_AFTER_S = 1.0
+PRIORITY_AGE_S = 1.0
+
+
+def _choose_server(world: World, row: RequestRow) -> SlotRow | None:
+    servers = [
+        slot
+        for slot in world.slots.select("service", row.service)
+        if slot.server_id not in row.tried and free_slots(world, slot) > 0
+    ]
+    if not servers:
+        return None
+    weights = [
+        free_slots(world, slot) * weigh_server(world, slot.server_id)
+        for slot in servers
+    ]
+    return world.rng.choices(servers, weights)[0]
+
+
+def _dispatch(world: World, row: RequestRow, slot: SlotRow, now: Instant) -> None:
+    server = world.backend_servers.fetch(slot.server_id)
+    attempt_id = next_sequence(world, "attempt")
+    take_slot(world, server.server_id)
+    row = row._replace(
+        attempt_id=attempt_id,
+        tried=(*row.tried, server.server_id),
+        n_tries=row.n_tries + 1,
+    )
+    row = advance(world, row, "dispatch", now)
+    stop_timer(world, TimerKind.QUEUE, row.request_id)
+    world.attempts.insert(
+        AttemptRow(
+            attempt_id,
+            row.request_id,
+            server.server_id,
+            row.service,
+            now.monotonic_s,
+        )
+    )
+    count(world, "attempts", "service", row.service)
+    command = commands.SendAttempt(
+        attempt_id,
+        row.request_id,
+        server.address,
+        row.message,
+        row.deadline_s - now.monotonic_s,
+    )
+    send(world, command)
+
+
+def _order(row: RequestRow) -> tuple[int, float]:
+    return row.priority, row.accepted_at_s
+
+
+@system(Phase.DISPATCH)
+def dispatch_requests(world: World, now: Instant) -> None:
+    """Fill free slots, urgent classes first, oldest first within a class."""
+    queued = world.requests.select("state", RequestState.QUEUED)
+    for row in sorted(queued, key=_order):
+        slot = _choose_server(world, row)
+        if slot is not None:
+            _dispatch(world, row, slot, now)
+
+
+@timer_handlers(TimerKind.QUEUE)
+def refuse_queued(world: World, request_id: str, now: Instant) -> None:
+    """Refuse a request that got no slot in time."""
+    row = world.requests.get(request_id)
+    if row is None or row.state is not RequestState.QUEUED:
+        return
+    detail = f"no slot of {row.service} came free in time"
+    refusal = make_refusal(OverloadedError, detail, RETRY_AFTER_S)
+    refuse_request(world, row, refusal, now)
--- /dev/null
+++ b/burdockhitch/systems/draining.py
@@ -0,0 +1,56 @@
+"""Graceful shutdown of this VM."""
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.messages import View
+from burdockhitch.systems.gossip import make_digest, other_vms
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.timing import timer_handlers
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmStatus
+from burdockhitch.world import (
+    World,
+    current_revision,
+    log_event,
+    post_event,
+    send,
+    start_timer,
+    take_events,
+)
+
+STOP_CHECK_PERIOD_S = 0.1
+
+
+@system(Phase.DRAINING)
+def start_leaving(world: World, now: Instant) -> None:
+    """Say that this VM is leaving, once."""
+    if not take_events(world, events.StopRequested):
+        return
+    own = world.vms.fetch(world.local.vm_id)
+    if own.status is VmStatus.LEAVING:
+        return
+    own = own._replace(
+        status=VmStatus.LEAVING,
+        refutation=own.refutation + 1,
+        changed_at_s=now.monotonic_s,
+        n_transmissions=0,
+    )
+    world.vms.replace(own)
+    log_event(world, "INFO", "vm_leaving", vm=own.vm_id)
+    post_event(world, events.ViewChanged(own.vm_id))
+    message = View(current_revision(world), (make_digest(own),))
+    for peer in other_vms(world):
+        send(world, commands.SendMessage(peer.vm_id, peer.message_address, message))
+    due_s = now.monotonic_s + world.settings.callers.keep_s
+    start_timer(world, TimerKind.STOP, "", due_s)
+
+
+@timer_handlers(TimerKind.STOP)
+def stop_when_idle(world: World, _subject: str, now: Instant) -> None:
+    """End the process once no request is in progress."""
+    if len(world.requests):
+        due_s = now.monotonic_s + STOP_CHECK_PERIOD_S
+        start_timer(world, TimerKind.STOP, "", due_s)
+        return
+    log_event(world, "INFO", "vm_left", vm=world.local.vm_id)
+    send(world, commands.StopProcess())
--- /dev/null
+++ b/burdockhitch/systems/ejection.py
@@ -0,0 +1,112 @@
+"""Takes suspect backend servers out of service, inside the floor."""
+
+from collections.abc import Callable
+
+from burdockhitch.clock import Instant
+from burdockhitch.registry import Registry
+from burdockhitch.systems.health import (
+    change_state,
+    probe_later,
+    probe_server,
+    profile_of,
+)
+from burdockhitch.systems.permits import use_permit
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.timing import timer_handlers
+from burdockhitch.tables.health_signals import HealthRow, ServerState
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import World, count, start_timer
+
+COMMON_TROUBLE_RATIO = 0.5
+FLAP_MEMORY_S = 600.0
+
+FloorGuard = Callable[[World, HealthRow, Instant], bool]
+floor_guards: Registry[FloorGuard] = Registry("floor guard")
+
+
+@floor_guards("escrow")
+def guard_by_escrow(world: World, row: HealthRow, now: Instant) -> bool:
+    """Allow an ejection when this incarnation holds a permit for it."""
+    return use_permit(world, row, now)
+
+
+@floor_guards("none")
+def guard_by_nothing(world: World, row: HealthRow, now: Instant) -> bool:
+    """Allow every ejection; the baseline that breaks the floor."""
+    return True
+
+
+@floor_guards("local_view")
+def guard_by_local_view(world: World, row: HealthRow, now: Instant) -> bool:
+    """Allow an ejection that this VM's own ejections leave room for."""
+    service = world.services.fetch(row.service)
+    servers = world.backend_servers.select("service", row.service)
+    n_slots = sum(server.n_slots for server in servers)
+    ejected = world.health_signals.select("state", ServerState.EJECTED)
+    n_ejected_slots = sum(
+        world.backend_servers.fetch(other.server_id).n_slots
+        for other in ejected
+        if other.service == row.service
+    )
+    n_slots_here = world.backend_servers.fetch(row.server_id).n_slots
+    return n_slots - n_ejected_slots - n_slots_here >= service.floor_slots
+
+
+def is_common_trouble(world: World, service: str) -> bool:
+    """Return whether most servers of a service are suspect at once.
+
+    That is overload, or trouble of the network on this side, and no reason to
+    eject any of them.
+    """
+    reports = world.latencies.select("service", service)
+    n_owned = sum(report.n_owned for report in reports)
+    n_suspect = sum(report.n_suspect for report in reports)
+    return n_owned > 1 and n_suspect > n_owned * COMMON_TROUBLE_RATIO
+
+
+def _hold_s(world: World, n_ejections: int) -> float:
+    settings = world.settings.backend_servers
+    return float(min(settings.hold_max_s, settings.hold_s * 2 ** (n_ejections - 1)))
+
+
+def _eject(world: World, row: HealthRow, now: Instant) -> None:
+    is_flapping = now.monotonic_s - row.changed_at_s < FLAP_MEMORY_S
+    n_ejections = row.n_ejections + 1 if is_flapping else 1
+    row = row._replace(n_ejections=n_ejections)
+    change_state(world, row, "eject", now, row.cause)
+    count(world, "ejections", "cause", row.cause)
+    due_s = now.monotonic_s + _hold_s(world, n_ejections)
+    start_timer(world, TimerKind.HOLD, row.server_id, due_s)
+
+
+@system(Phase.EJECTION)
+def eject_suspects(world: World, now: Instant) -> None:
+    """Eject every suspect server that the floor guard allows."""
+    guard = floor_guards[world.settings.policies.floor_guard]
+    for row in world.health_signals.select("state", ServerState.SUSPECT):
+        if is_common_trouble(world, row.service):
+            count(world, "ejections_withheld", "reason", "common_trouble")
+        elif guard(world, row, now):
+            _eject(world, row, now)
+
+
+@timer_handlers(TimerKind.HOLD)
+def end_hold(world: World, server_id: str, now: Instant) -> None:
+    """Probe an ejected server once its hold is over."""
+    row = world.health_signals.get(server_id)
+    if row is not None and row.state is ServerState.EJECTED:
+        probe_server(world, server_id)
+        probe_later(world, row, now)
+
+
+@timer_handlers(TimerKind.SERVER_PROBE)
+def repeat_probe(world: World, server_id: str, now: Instant) -> None:
+    """Probe an ejected server again."""
+    end_hold(world, server_id, now)
+
+
+def suspect_at_once(world: World, row: HealthRow, now: Instant) -> None:
+    """Take over a suspicion from the previous owner of a server."""
+    threshold = profile_of(world, row.service).threshold
+    row = row._replace(error_evidence=threshold)
+    change_state(world, row, "suspect", now, "handed over")
--- /dev/null
+++ b/burdockhitch/systems/endings.py
@@ -0,0 +1,168 @@
+"""Ends a request in exactly one way and tells whoever waits for it."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from burdockhitch import commands
+from burdockhitch.clock import Instant
+from burdockhitch.errors import RequestRefusedError, error_name
+from burdockhitch.lifecycles.request import REQUEST_LIFE_CYCLE
+from burdockhitch.messages import Answer, CancelRequest, ForwardAnswer, Refusal
+from burdockhitch.registry import Registry
+from burdockhitch.systems.capacity import release_forward, release_slot, report_load
+from burdockhitch.systems.expiry import ENDED, plan_expiry
+from burdockhitch.tables.requests import EndedRow, RequestRow, RequestState
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import (
+    World,
+    count,
+    log_event,
+    send,
+    send_message,
+    stop_timer,
+)
+
+ENDED_KEEP_S = 60.0
+
+
+class Ending(NamedTuple):
+    """How a request ended.
+
+    Attributes:
+        state: Final state.
+        answer: Whole answer, if it was answered.
+        refusal: Refusal, if it was refused or its outcome is unknown.
+    """
+
+    state: RequestState
+    answer: Answer | None = None
+    refusal: Refusal | None = None
+
+
+EndingHook = Callable[[World, RequestRow, Ending, Instant], None]
+ending_hooks: Registry[EndingHook] = Registry("hook at the end of a request")
+
+
+def advance(world: World, row: RequestRow, event: str, now: Instant) -> RequestRow:
+    """Move a request along its life cycle and store it.
+
+    Raises:
+        TransitionError: If the life cycle has no such transition.
+    """
+    state = REQUEST_LIFE_CYCLE.advance(row.state, event)
+    row = row._replace(state=state, state_at_s=now.monotonic_s)
+    world.requests.replace(row)
+    return row
+
+
+def make_refusal(
+    error: type[RequestRefusedError], detail: str, retry_after_s: float = 0.0
+) -> Refusal:
+    """Return a refusal of a registered type."""
+    return Refusal(error_name(error), detail, retry_after_s)
+
+
+def answer_request(world: World, row: RequestRow, answer: Answer, now: Instant) -> None:
+    """End a request with a whole answer."""
+    _end(world, row, "answer", now, answer=answer)
+
+
+def refuse_request(
+    world: World, row: RequestRow, refusal: Refusal, now: Instant
+) -> None:
+    """End a request that was not run."""
+    _end(world, row, "refuse", now, refusal=refusal)
+
+
+def lose_request(world: World, row: RequestRow, refusal: Refusal, now: Instant) -> None:
+    """End a request whose outcome is unknown."""
+    _end(world, row, "lose", now, refusal=refusal)
+
+
+def abandon_request(world: World, row: RequestRow, now: Instant) -> None:
+    """End a request whose caller is gone."""
+    _end(world, row, "abandon", now)
+
+
+def _end(
+    world: World,
+    row: RequestRow,
+    event: str,
+    now: Instant,
+    answer: Answer | None = None,
+    refusal: Refusal | None = None,
+) -> None:
+    state = REQUEST_LIFE_CYCLE.advance(row.state, event)
+    ending = Ending(state, answer, refusal)
+    for kind in (TimerKind.DEADLINE, TimerKind.QUEUE, TimerKind.RESEND):
+        stop_timer(world, kind, row.request_id)
+    _stop_work(world, row, ending)
+    world.requests.remove(row.request_id)
+    for name in ending_hooks:
+        ending_hooks[name](world, row, ending, now)
+    _reply(world, row, ending, now)
+    _account(world, row, ending)
+
+
+def _stop_work(world: World, row: RequestRow, ending: Ending) -> None:
+    if row.attempt_id:
+        world.attempts.remove(row.attempt_id)
+        release_slot(world, row.tried[-1])
+        send(world, commands.CancelAttempt(row.attempt_id))
+    if row.state in (RequestState.FORWARDED, RequestState.AT_HOME):
+        release_forward(world, row)
+        if ending.answer is None:
+            send_message(world, row.owner_vm_id, CancelRequest(row.request_id))
+
+
+def _reply(world: World, row: RequestRow, ending: Ending, now: Instant) -> None:
+    if row.origin_vm_id:
+        _reply_to_vm(world, row, ending, now)
+    elif ending.answer is not None:
+        command = commands.AnswerCaller(
+            row.connection_id, row.request_id, ending.answer
+        )
+        send(world, command)
+    elif ending.refusal is not None:
+        send(
+            world,
+            commands.RefuseCaller(row.connection_id, row.request_id, ending.refusal),
+        )
+
+
+def _reply_to_vm(world: World, row: RequestRow, ending: Ending, now: Instant) -> None:
+    expires_at_s = now.monotonic_s + ENDED_KEEP_S
+    ended = EndedRow(row.reply_id, ending.answer, ending.refusal, expires_at_s)
+    world.ended.put(ended)
+    plan_expiry(world, ENDED)
+    if ending.state is not RequestState.CALLER_GONE:
+        send_ended(world, row.origin_vm_id, row.service, ended)
+
+
+def send_ended(world: World, vm_id: str, service: str, ended: EndedRow) -> None:
+    """Tell a VM how the request ended that it forwarded."""
+    load = report_load(world, service)
+    message = ForwardAnswer(ended.request_id, ended.answer, ended.refusal, load)
+    send_message(world, vm_id, message)
+
+
+def _account(world: World, row: RequestRow, ending: Ending) -> None:
+    count(world, "requests_ended", "outcome", ending.state)
+    refusal = ending.refusal
+    if refusal is None or row.origin_vm_id:
+        return
+    count(world, "refusals", "error", refusal.error)
+    route = world.routes.get(row.route_id)
+    log_event(
+        world,
+        "INFO" if ending.state is RequestState.REFUSED else "WARNING",
+        "request_refused",
+        request_id=row.request_id,
+        service=row.service,
+        route=row.route_id,
+        outcome=ending.state.value,
+        error=refusal.error,
+        detail=refusal.detail,
+        rule_line=route.line if route else 0,
+        requester=route.requester if route else "",
+    )
--- /dev/null
+++ b/burdockhitch/systems/expiry.py
@@ -0,0 +1,34 @@
+"""Forgets records whose time is over."""
+
+from typing import Any
+
+from burdockhitch.clock import Instant
+from burdockhitch.systems.timing import timer_handlers
+from burdockhitch.tables.table import Table
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import World, start_timer
+
+ENDED = "ended"
+HOME = "home"
+
+
+def _table(world: World, subject: str) -> Table[Any]:
+    return world.ended if subject == ENDED else world.home_records
+
+
+def plan_expiry(world: World, subject: str) -> None:
+    """Start the timer of the record that expires first."""
+    row = _table(world, subject).first("expires_at_s")
+    if row is not None:
+        start_timer(world, TimerKind.EXPIRY, subject, row.expires_at_s)
+
+
+@timer_handlers(TimerKind.EXPIRY)
+def expire_records(world: World, subject: str, now: Instant) -> None:
+    """Remove expired records and plan the next expiry."""
+    table = _table(world, subject)
+    row = table.first("expires_at_s")
+    while row is not None and row.expires_at_s <= now.monotonic_s:
+        table.remove(row[0])
+        row = table.first("expires_at_s")
+    plan_expiry(world, subject)
--- /dev/null
+++ b/burdockhitch/systems/forwards.py
@@ -0,0 +1,191 @@
+"""Requests that go from one VM to another, and their answers."""
+
+from burdockhitch.clock import Instant
+from burdockhitch.errors import (
+    AnswerLostError,
+    DeadlineTooShortError,
+    HomeGoneError,
+    NotReadyError,
+    RequestRefusedError,
+)
+from burdockhitch.messages import CancelRequest, ForwardAnswer, ForwardRequest
+from burdockhitch.problems import is_not_run
+from burdockhitch.systems.capacity import note_load, release_forward
+from burdockhitch.systems.endings import (
+    abandon_request,
+    advance,
+    answer_request,
+    lose_request,
+    make_refusal,
+    refuse_request,
+    send_ended,
+)
+from burdockhitch.systems.retries import may_retry, spend_retry
+from burdockhitch.systems.routing import RESEND_S, send_forward
+from burdockhitch.systems.timing import message_handlers, timer_handlers
+from burdockhitch.tables.requests import EndedRow, RequestRow, RequestState
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import World, count, send_message, start_timer
+
+DEADLINE_MARGIN_S = 0.02
+HOME_SUFFIX = "@home"
+WAITING_STATES = (RequestState.FORWARDED, RequestState.AT_HOME)
+
+
+def _local_id(message: ForwardRequest) -> str:
+    suffix = HOME_SUFFIX if message.is_for_home else ""
+    return message.request_id + suffix
+
+
+def _refuse_forward(
+    world: World,
+    sender: str,
+    message: ForwardRequest,
+    error: type[RequestRefusedError],
+    detail: str,
+) -> None:
+    refusal = make_refusal(error, detail)
+    ended = EndedRow(message.request_id, None, refusal, 0.0)
+    send_ended(world, sender, message.service, ended)
+
+
+@message_handlers("forward_request")
+def take_forward(
+    world: World, sender: str, message: ForwardRequest, now: Instant
+) -> None:
+    """Accept a request from another VM, once."""
+    if message.target_incarnation != world.local.incarnation:
+        count(world, "messages_dropped", "reason", "incarnation")
+        return
+    ended = world.ended.get(message.request_id)
+    if ended is not None:
+        count(world, "forwards_repeated")
+        send_ended(world, sender, message.service, ended)
+        return
+    if _local_id(message) in world.requests:
+        count(world, "forwards_repeated")
+        return
+    _accept_forward(world, sender, message, now)
+
+
+def _accept_forward(
+    world: World, sender: str, message: ForwardRequest, now: Instant
+) -> None:
+    route = world.routes.get(message.route_id)
+    if route is None:
+        detail = f"{world.local.vm_id} has no route {message.route_id}"
+        _refuse_forward(world, sender, message, NotReadyError, detail)
+        return
+    remaining_s = message.remaining_s - DEADLINE_MARGIN_S
+    if remaining_s <= 0:
+        detail = "no time is left"
+        _refuse_forward(world, sender, message, DeadlineTooShortError, detail)
+        return
+    state = RequestState.ACCEPTED if message.is_for_home else RequestState.ADMITTED
+    row = RequestRow(
+        request_id=_local_id(message),
+        connection_id=0,
+        origin_vm_id=sender,
+        message=message.request,
+        service=message.service,
+        route_id=message.route_id,
+        is_idempotent=route.is_idempotent,
+        once=route.once if message.is_for_home else "none",
+        key=message.key,
+        priority=route.priority,
+        state=state,
+        accepted_at_s=now.monotonic_s,
+        deadline_s=now.monotonic_s + remaining_s,
+        state_at_s=now.monotonic_s,
+        reply_id=message.request_id,
+        is_routable=message.is_for_home,
+    )
+    world.requests.insert(row)
+    start_timer(world, TimerKind.DEADLINE, row.request_id, row.deadline_s)
+
+
+def _waiting_request(world: World, sender: str, request_id: str) -> RequestRow | None:
+    row = world.requests.get(request_id)
+    if row is None or row.state not in WAITING_STATES or row.owner_vm_id != sender:
+        count(world, "answers_dropped", "reason", "late")
+        return None
+    return row
+
+
+@message_handlers("forward_answer")
+def take_forward_answer(
+    world: World, sender: str, message: ForwardAnswer, now: Instant
+) -> None:
+    """Pass on the answer of an owner, or route a refused request again."""
+    row = _waiting_request(world, sender, message.request_id)
+    if row is not None:
+        _take_ending(world, row, message, now)
+    note_load(world, sender, message.load)
+
+
+def _take_ending(
+    world: World, row: RequestRow, message: ForwardAnswer, now: Instant
+) -> None:
+    refusal = message.refusal
+    if message.answer is not None:
+        answer_request(world, row, message.answer, now)
+        return
+    if refusal is None:
+        count(world, "messages_dropped", "reason", "empty")
+        return
+    not_run = is_not_run(refusal.error)
+    is_forwarded = row.state is RequestState.FORWARDED
+    can_repeat = is_forwarded and (not_run or row.is_idempotent)
+    if can_repeat and may_retry(world, row, now):
+        retry_elsewhere(world, row, now)
+    elif not_run:
+        refuse_request(world, row, refusal, now)
+    else:
+        lose_request(world, row, refusal, now)
+
+
+def retry_elsewhere(world: World, row: RequestRow, now: Instant) -> None:
+    """Route a forwarded request to another owner."""
+    spend_retry(world, row)
+    release_forward(world, row)
+    advance(world, row._replace(owner_vm_id=""), "retry", now)
+
+
+@message_handlers("cancel_request")
+def take_cancel(
+    world: World, sender: str, message: CancelRequest, now: Instant
+) -> None:
+    """End a request whose caller is gone."""
+    for request_id in (message.request_id, message.request_id + HOME_SUFFIX):
+        row = world.requests.get(request_id)
+        if row is not None and row.origin_vm_id == sender:
+            abandon_request(world, row, now)
+
+
+@timer_handlers(TimerKind.RESEND)
+def resend_forward(world: World, request_id: str, now: Instant) -> None:
+    """Repeat a message, or try another owner if the request is idempotent."""
+    row = world.requests.get(request_id)
+    if row is None or row.state is not RequestState.FORWARDED:
+        return
+    if row.is_idempotent and may_retry(world, row, now):
+        send_message(world, row.owner_vm_id, CancelRequest(row.request_id))
+        retry_elsewhere(world, row, now)
+        return
+    count(world, "forwards_resent")
+    send_forward(world, row, now)
+    start_timer(world, TimerKind.RESEND, request_id, now.monotonic_s + RESEND_S)
+
+
+def lose_forwards(world: World, vm_id: str, incarnation: int, now: Instant) -> None:
+    """End or retry what was forwarded to an incarnation that is gone."""
+    for row in world.requests.select("owner_vm_id", vm_id):
+        if row.owner_incarnation != incarnation or row.state not in WAITING_STATES:
+            continue
+        is_forwarded = row.state is RequestState.FORWARDED
+        if is_forwarded and row.is_idempotent and may_retry(world, row, now):
+            retry_elsewhere(world, row, now)
+            continue
+        error = AnswerLostError if is_forwarded else HomeGoneError
+        detail = f"VM {vm_id} died while it had the request"
+        lose_request(world, row, make_refusal(error, detail), now)
--- /dev/null
+++ b/burdockhitch/systems/gossip.py
@@ -0,0 +1,169 @@
+"""Spreads changes of the membership view and merges those of others."""
+
+import math
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.lifecycles.vm import VM_LIFE_CYCLE
+from burdockhitch.messages import View, VmDigest
+from burdockhitch.systems.forwards import lose_forwards
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import (
+    World,
+    count,
+    current_revision,
+    log_event,
+    post_event,
+    send,
+    start_timer,
+    stop_timer,
+)
+
+DIGESTS_PER_MESSAGE = 8
+TRANSMISSIONS_PER_LOG_VM = 3
+SEVERITY = {
+    VmStatus.ALIVE: 0,
+    VmStatus.SUSPECT: 1,
+    VmStatus.LEAVING: 2,
+    VmStatus.DEAD: 3,
+}
+EVENT_BY_STATUS = {
+    VmStatus.ALIVE: "refute",
+    VmStatus.SUSPECT: "suspect",
+    VmStatus.LEAVING: "leave",
+    VmStatus.DEAD: "die",
+}
+
+
+def make_digest(row: VmRow) -> VmDigest:
+    """Return what is gossiped about a VM."""
+    return VmDigest(*row[:7], row.status.value)
+
+
+def whole_view(world: World) -> View:
+    """Return a message with all that this VM holds."""
+    digests = tuple(make_digest(row) for row in world.vms)
+    return View(current_revision(world), digests)
+
+
+def take_digests(world: World) -> tuple[VmDigest, ...]:
+    """Return the changes that were gossiped least, and count the sending."""
+    n_max = TRANSMISSIONS_PER_LOG_VM * math.ceil(math.log2(len(world.vms) + 1))
+    fresh = [row for row in world.vms if row.n_transmissions < n_max]
+    fresh.sort(key=lambda row: row.n_transmissions)
+    chosen = fresh[:DIGESTS_PER_MESSAGE]
+    for row in chosen:
+        world.vms.replace(row._replace(n_transmissions=row.n_transmissions + 1))
+    return tuple(make_digest(row) for row in chosen)
+
+
+def other_vms(world: World) -> list[VmRow]:
+    """Return the VMs besides this one that are not dead."""
+    return [
+        row
+        for row in world.vms
+        if row.vm_id != world.local.vm_id and row.status is not VmStatus.DEAD
+    ]
+
+
+def choose_peers(world: World, n_peers: int) -> list[VmRow]:
+    """Return random other VMs."""
+    others = other_vms(world)
+    return world.rng.sample(others, min(n_peers, len(others)))
+
+
+def push_digest(world: World, row: VmRow) -> None:
+    """Tell some peers at once about a change."""
+    message = View(current_revision(world), (make_digest(row),))
+    for peer in choose_peers(world, world.settings.membership.fanout):
+        send(world, commands.SendMessage(peer.vm_id, peer.message_address, message))
+
+
+def _is_news(old: VmRow, new: VmDigest) -> bool:
+    status = VmStatus(new.status)
+    old_rank = (old.incarnation, old.refutation, SEVERITY[old.status])
+    return (new.incarnation, new.refutation, SEVERITY[status]) > old_rank
+
+
+def _from_digest(digest: VmDigest, now: Instant) -> VmRow:
+    status = VmStatus(digest.status)
+    return VmRow(*digest[:7], status=status, changed_at_s=now.monotonic_s)
+
+
+def set_status(
+    world: World, row: VmRow, status: VmStatus, now: Instant, refutation: int
+) -> None:
+    """Move a VM along its life cycle, tell peers and follow up."""
+    status = VM_LIFE_CYCLE.advance(row.status, EVENT_BY_STATUS[status])
+    new = row._replace(
+        status=status,
+        refutation=refutation,
+        changed_at_s=now.monotonic_s,
+        n_transmissions=0,
+        is_reachable=row.is_reachable or status is VmStatus.ALIVE,
+    )
+    world.vms.replace(new)
+    _follow_up(world, row, new, now)
+
+
+def _follow_up(world: World, old: VmRow | None, new: VmRow, now: Instant) -> None:
+    before = old.status.value if old else "unknown"
+    if old is None or old.status is not new.status:
+        count(world, "vm_changes", "status", new.status)
+        log_event(
+            world,
+            "INFO",
+            "vm_changed",
+            vm=new.vm_id,
+            incarnation=new.incarnation,
+            before=before,
+            after=new.status.value,
+        )
+    post_event(world, events.ViewChanged(new.vm_id))
+    push_digest(world, new)
+    if new.status is VmStatus.SUSPECT:
+        due_s = now.monotonic_s + world.settings.membership.suspicion_s
+        start_timer(world, TimerKind.SUSPICION, new.vm_id, due_s)
+    else:
+        stop_timer(world, TimerKind.SUSPICION, new.vm_id)
+    if new.status is VmStatus.DEAD:
+        lose_forwards(world, new.vm_id, new.incarnation, now)
+
+
+def merge_digest(world: World, digest: VmDigest, now: Instant) -> None:
+    """Take over what another VM holds, if it is newer."""
+    if digest.vm_id == world.local.vm_id:
+        _merge_own(world, digest, now)
+        return
+    old = world.vms.get(digest.vm_id)
+    if old is not None and not _is_news(old, digest):
+        return
+    status = VmStatus(digest.status)
+    if old is not None and old.incarnation == digest.incarnation:
+        event = EVENT_BY_STATUS[status]
+        if VM_LIFE_CYCLE.can_advance(old.status, event):
+            set_status(world, old, status, now, digest.refutation)
+        elif old.status is status:
+            world.vms.replace(old._replace(refutation=digest.refutation))
+        return
+    new = _from_digest(digest, now)
+    if old is not None:
+        lose_forwards(world, old.vm_id, old.incarnation, now)
+    world.vms.put(new)
+    _follow_up(world, old, new, now)
+
+
+def _merge_own(world: World, digest: VmDigest, now: Instant) -> None:
+    own = world.vms.fetch(world.local.vm_id)
+    if digest.incarnation > own.incarnation:
+        log_event(world, "ERROR", "vm_id_used_twice", vm=own.vm_id)
+        return
+    is_doubt = VmStatus(digest.status) in (VmStatus.SUSPECT, VmStatus.DEAD)
+    is_about_us = digest.incarnation == own.incarnation
+    if not is_about_us or not is_doubt or digest.refutation < own.refutation:
+        return
+    own = own._replace(refutation=digest.refutation + 1, n_transmissions=0)
+    world.vms.replace(own)
+    count(world, "suspicions_refuted")
+    push_digest(world, own)
--- /dev/null
+++ b/burdockhitch/systems/health.py
@@ -0,0 +1,278 @@
+"""Judges backend servers by the answers to real work.
+
+Each detector is a sequential test. ``cusum`` adds the log likelihood ratio of
+each answer under "failing" and "healthy" and stops at a threshold; see E. S.
+Page, "Continuous Inspection Schemes", Biometrika 41 (1954).
+"""
+
+import math
+from collections.abc import Callable
+from typing import NamedTuple
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.lifecycles.backend_server import SERVER_LIFE_CYCLE
+from burdockhitch.registry import Registry
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.tables.health_signals import HealthRow, ServerState
+from burdockhitch.tables.services import LatencyRow
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import (
+    World,
+    count,
+    log_event,
+    send,
+    start_timer,
+    take_events,
+)
+
+MEDIAN_STEP_RATIO = 0.05
+LATE_FLOOR_S = 0.005
+SUSPECT_WEIGHT = 0.1
+EVIDENCE_WEIGHT = 0.3
+RECOVERY_SAMPLES_PER_SLOT = 4
+
+
+class HealthProfile(NamedTuple):
+    """Parameters of the sequential tests.
+
+    Attributes:
+        base_ratio: Share of bad answers of a healthy server.
+        bad_ratio: Share of bad answers worth an ejection.
+        threshold: Evidence at which a server is suspect, in nats.
+        late_multiple: Multiple of the peers' median latency that is late.
+        n_consecutive: Failures in a row, for the baseline detector.
+    """
+
+    base_ratio: float
+    bad_ratio: float
+    threshold: float
+    late_multiple: float
+    n_consecutive: int
+
+
+class Sample(NamedTuple):
+    """One judged answer."""
+
+    is_error: bool
+    is_late: bool
+
+
+Detector = Callable[[HealthRow, Sample, HealthProfile], HealthRow]
+detectors: Registry[Detector] = Registry("detector")
+profiles: Registry[HealthProfile] = Registry("health profile")
+
+profiles("detection_first")(
+    HealthProfile(
+        base_ratio=0.01,
+        bad_ratio=0.2,
+        threshold=11.5,
+        late_multiple=1.8,
+        n_consecutive=3,
+    )
+)
+profiles("few_false_ejections")(
+    HealthProfile(
+        base_ratio=0.01,
+        bad_ratio=0.2,
+        threshold=14.0,
+        late_multiple=1.9,
+        n_consecutive=5,
+    )
+)
+
+
+def add_evidence(evidence: float, is_bad: bool, profile: HealthProfile) -> float:
+    """Return the cumulative sum after one more answer."""
+    if is_bad:
+        step = math.log(profile.bad_ratio / profile.base_ratio)
+    else:
+        step = math.log((1 - profile.bad_ratio) / (1 - profile.base_ratio))
+    return max(0.0, evidence + step)
+
+
+@detectors("cusum")
+def judge_by_cusum(row: HealthRow, sample: Sample, profile: HealthProfile) -> HealthRow:
+    """Add the evidence of one answer, for errors and lateness apart."""
+    return row._replace(
+        error_evidence=add_evidence(row.error_evidence, sample.is_error, profile),
+        lateness_evidence=add_evidence(row.lateness_evidence, sample.is_late, profile),
+    )
+
+
+@detectors("consecutive_failures")
+def judge_by_run(row: HealthRow, sample: Sample, profile: HealthProfile) -> HealthRow:
+    """Count failures in a row; the baseline of many proxies."""
+    is_bad = sample.is_error
+    n_failures = row.n_consecutive_failures + 1 if is_bad else 0
+    is_over = n_failures >= profile.n_consecutive
+    return row._replace(
+        n_consecutive_failures=n_failures,
+        error_evidence=profile.threshold if is_over else 0.0,
+    )
+
+
+def profile_of(world: World, service: str) -> HealthProfile:
+    """Return the profile that the service's rule names."""
+    row = world.services.get(service)
+    return profiles[row.health_profile if row else "detection_first"]
+
+
+def weigh_server(world: World, server_id: str) -> float:
+    """Return the share of new work that a server gets beside a healthy one."""
+    row = world.health_signals.get(server_id)
+    if row is None:
+        return 1.0
+    if row.state is ServerState.SUSPECT:
+        return SUSPECT_WEIGHT
+    threshold = profile_of(world, row.service).threshold
+    evidence = max(row.error_evidence, row.lateness_evidence)
+    return EVIDENCE_WEIGHT if evidence > threshold / 2 else 1.0
+
+
+def _note_latency(world: World, service: str, latency_s: float) -> None:
+    key = (service, world.local.vm_id)
+    row = world.latencies.get(key)
+    if row is None or not row.median_s:
+        row = row or LatencyRow(key, service, 0.0)
+        world.latencies.put(row._replace(median_s=latency_s))
+        return
+    step_s = row.median_s * MEDIAN_STEP_RATIO
+    step_s = step_s if latency_s > row.median_s else -step_s
+    world.latencies.replace(row._replace(median_s=row.median_s + step_s))
+
+
+def reference_latency_s(world: World, service: str) -> float:
+    """Return the median of what the VMs measured for a service."""
+    rows = world.latencies.select("service", service)
+    values = sorted(row.median_s for row in rows if row.median_s)
+    if not values:
+        return math.inf
+    return max(LATE_FLOOR_S, values[(len(values) - 1) // 2])
+
+
+def _is_late(world: World, row: HealthRow, latency_s: float) -> bool:
+    multiple = profile_of(world, row.service).late_multiple
+    return latency_s > multiple * reference_latency_s(world, row.service)
+
+
+def change_state(
+    world: World, row: HealthRow, event: str, now: Instant, cause: str = ""
+) -> HealthRow:
+    """Move a backend server along its life cycle, store and log it."""
+    state = SERVER_LIFE_CYCLE.advance(row.state, event)
+    count(world, "server_changes", "state", state)
+    server = world.backend_servers.get(row.server_id)
+    log_event(
+        world,
+        "WARNING" if state in (ServerState.SUSPECT, ServerState.EJECTED) else "INFO",
+        "server_changed",
+        server=row.server_id,
+        before=row.state.value,
+        after=state.value,
+        cause=cause,
+        rule_line=server.line if server else 0,
+        requester=server.requester if server else "",
+    )
+    row = row._replace(state=state, cause=cause, changed_at_s=now.monotonic_s)
+    world.health_signals.put(row)
+    count_suspects(world, row.service)
+    return row
+
+
+def _cause(row: HealthRow, profile: HealthProfile) -> str:
+    if row.error_evidence >= profile.threshold:
+        return "errors"
+    if row.lateness_evidence >= profile.threshold:
+        return "lateness"
+    return ""
+
+
+def _ramp_up(world: World, row: HealthRow, now: Instant) -> HealthRow:
+    slot = world.slots.get(row.server_id)
+    server = world.backend_servers.get(row.server_id)
+    if slot is None or server is None:
+        return row
+    n_usable = 1 + row.n_samples // RECOVERY_SAMPLES_PER_SLOT
+    n_usable = min(server.n_slots, n_usable)
+    world.slots.replace(slot._replace(n_usable=n_usable))
+    if n_usable == server.n_slots:
+        return change_state(world, row, "clear", now)
+    return row
+
+
+def _judge(
+    world: World, row: HealthRow, event: events.ServerSampled, now: Instant
+) -> None:
+    profile = profile_of(world, row.service)
+    detector = detectors[world.settings.policies.detector]
+    sample = Sample(event.is_error, _is_late(world, row, event.latency_s))
+    row = detector(row, sample, profile)._replace(n_samples=row.n_samples + 1)
+    world.health_signals.replace(row)
+    cause = _cause(row, profile)
+    if cause and SERVER_LIFE_CYCLE.can_advance(row.state, "suspect"):
+        change_state(world, row, "suspect", now, cause)
+    elif not cause and row.state is ServerState.SUSPECT:
+        change_state(world, row, "clear", now)
+    elif row.state is ServerState.RECOVERING:
+        _ramp_up(world, row, now)
+
+
+def count_suspects(world: World, service: str) -> None:
+    """Store how many servers owned here are suspect, for the peers."""
+    rows = world.health_signals.select("service", service)
+    troubled = (ServerState.SUSPECT, ServerState.EJECTED)
+    n_suspect = sum(1 for row in rows if row.state in troubled)
+    key = (service, world.local.vm_id)
+    row = world.latencies.get(key) or LatencyRow(key, service, 0.0)
+    world.latencies.put(row._replace(n_owned=len(rows), n_suspect=n_suspect))
+
+
+@system(Phase.HEALTH)
+def judge_servers(world: World, now: Instant) -> None:
+    """Add the evidence of every ended attempt."""
+    for event in take_events(world, events.ServerSampled):
+        row = world.health_signals.get(event.server_id)
+        if row is None:
+            continue
+        if not event.is_error:
+            _note_latency(world, row.service, event.latency_s)
+        _judge(world, row, event, now)
+
+
+@system(Phase.HEALTH)
+def take_probes(world: World, now: Instant) -> None:
+    """Readmit an ejected server whose probe succeeded after its hold."""
+    for event in take_events(world, events.ServerProbed):
+        row = world.health_signals.get(event.server_id)
+        if row is None or row.state is not ServerState.EJECTED:
+            continue
+        if event.is_ok:
+            readmit_server(world, row, now)
+        else:
+            probe_later(world, row, now)
+
+
+def probe_later(world: World, row: HealthRow, now: Instant) -> None:
+    """Probe an ejected server again after a probe timeout."""
+    due_s = now.monotonic_s + world.settings.backend_servers.probe_timeout_s
+    start_timer(world, TimerKind.SERVER_PROBE, row.server_id, due_s)
+
+
+def probe_server(world: World, server_id: str) -> None:
+    """Ask for a probe of a backend server."""
+    server = world.backend_servers.get(server_id)
+    if server is not None:
+        timeout_s = world.settings.backend_servers.probe_timeout_s
+        send(world, commands.ProbeServer(server_id, server.address, timeout_s))
+
+
+def readmit_server(world: World, row: HealthRow, now: Instant) -> None:
+    """Let an ejected server recover with one slot and half the evidence."""
+    world.permit_uses.discard(row.server_id)
+    evidence = profile_of(world, row.service).threshold / 2
+    row = row._replace(error_evidence=evidence, lateness_evidence=0.0, n_samples=0)
+    change_state(world, row, "readmit", now)
+    slot = world.slots.get(row.server_id)
+    if slot is not None:
+        world.slots.replace(slot._replace(n_usable=1))
--- /dev/null
+++ b/burdockhitch/systems/home.py
@@ -0,0 +1,193 @@
+"""Runs a keyed request only through the VM incarnation that its key names.
+
+The first part of the key is the token of an address answer. Only that
+incarnation keeps the record of the key, in its memory. When it is gone, the
+outcome is unknown and nothing runs again.
+"""
+
+import hashlib
+from typing import NamedTuple
+
+from burdockhitch.clock import Instant
+from burdockhitch.errors import (
+    ClaimHeldError,
+    HomeGoneError,
+    HomeTokenRequiredError,
+    KeyReusedError,
+)
+from burdockhitch.messages import ForwardRequest, RequestMessage
+from burdockhitch.systems.admission import once_ways
+from burdockhitch.systems.endings import (
+    Ending,
+    advance,
+    answer_request,
+    ending_hooks,
+    lose_request,
+    make_refusal,
+    refuse_request,
+)
+from burdockhitch.systems.expiry import HOME, plan_expiry
+from burdockhitch.tables.requests import HomeRow, RequestRow, RequestState
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import World, send_message
+
+CLOCK_SKEW_MAX_S = 60.0
+RETRY_AFTER_S = 1.0
+
+
+class HomeToken(NamedTuple):
+    """The part of a key that names its home.
+
+    Attributes:
+        vm_id: Home VM.
+        incarnation: Incarnation of the home VM.
+        issued_s: Wall-clock time of the address answer, seconds since 1970.
+    """
+
+    vm_id: str
+    incarnation: int
+    issued_s: int
+
+
+def issue_token(vm: VmRow, now: Instant) -> str:
+    """Return the token that an address answer offers for a VM."""
+    return f"{vm.vm_id}.{vm.incarnation}.{int(now.utc.timestamp())}"
+
+
+def parse_key(key: str) -> HomeToken | None:
+    """Return the token of a key, or None if it has none."""
+    token, _, unique = key.partition("/")
+    parts = token.split(".")
+    if not unique or len(parts) != 3:
+        return None
+    vm_id, incarnation, issued = parts
+    if not (incarnation.isdecimal() and issued.isdecimal()):
+        return None
+    return HomeToken(vm_id, int(incarnation), int(issued))
+
+
+def fingerprint(request: RequestMessage) -> str:
+    """Return a hash that tells two requests with one key apart."""
+    text = f"{request.method} {request.path}\n".encode()
+    return hashlib.blake2b(text + request.body, digest_size=16).hexdigest()
+
+
+def record_id(row: RequestRow) -> str:
+    """Return the primary key of a request's home record."""
+    return f"{row.service}/{row.message.account}/{row.key}"
+
+
+def _expires_at_s(world: World, token: HomeToken, now: Instant) -> float:
+    age_s = now.utc.timestamp() - token.issued_s
+    return now.monotonic_s + world.settings.callers.token_lifetime_s - age_s
+
+
+@once_ways("home")
+def admit_home(world: World, row: RequestRow, now: Instant) -> None:
+    """Admit, replay, forward to its home or refuse a keyed request."""
+    token = parse_key(row.key)
+    if token is None:
+        detail = "Idempotency-Key must be TOKEN/UNIQUE, TOKEN from an address answer"
+        refuse_request(world, row, make_refusal(HomeTokenRequiredError, detail), now)
+    elif (token.vm_id, token.incarnation) == world.local[:2]:
+        _admit_at_home(world, row, token, now)
+    else:
+        _send_home(world, row, token, now)
+
+
+def _admit_at_home(
+    world: World, row: RequestRow, token: HomeToken, now: Instant
+) -> None:
+    remaining_s = _expires_at_s(world, token, now) - now.monotonic_s
+    lifetime_s = world.settings.callers.token_lifetime_s
+    if not 0 < remaining_s <= lifetime_s + CLOCK_SKEW_MAX_S:
+        detail = "the token of the key has expired"
+        lose_request(world, row, make_refusal(HomeGoneError, detail), now)
+        return
+    record = world.home_records.get(record_id(row))
+    if record is not None:
+        _replay(world, row, record, now)
+        return
+    expires_at_s = now.monotonic_s + remaining_s
+    record = HomeRow(
+        record_id(row),
+        fingerprint(row.message),
+        row.request_id,
+        None,
+        None,
+        True,
+        expires_at_s,
+    )
+    world.home_records.insert(record)
+    plan_expiry(world, HOME)
+    advance(world, row, "admit", now)
+
+
+def _replay(world: World, row: RequestRow, record: HomeRow, now: Instant) -> None:
+    if record.fingerprint != fingerprint(row.message):
+        detail = "the key was used for another request"
+        refuse_request(world, row, make_refusal(KeyReusedError, detail), now)
+    elif record.answer is not None:
+        answer_request(world, row, record.answer, now)
+    elif record.refusal is not None:
+        lose_request(world, row, record.refusal, now)
+    else:
+        detail = "an earlier request with this key is in progress"
+        refusal = make_refusal(ClaimHeldError, detail, RETRY_AFTER_S)
+        lose_request(world, row, refusal, now)
+
+
+def _send_home(world: World, row: RequestRow, token: HomeToken, now: Instant) -> None:
+    vm = world.vms.get(token.vm_id)
+    is_gone = (
+        vm is None
+        or vm.incarnation != token.incarnation
+        or vm.status is VmStatus.DEAD
+        or not row.is_routable
+    )
+    if is_gone:
+        detail = "the VM that holds the record of this key is gone"
+        lose_request(world, row, make_refusal(HomeGoneError, detail), now)
+        return
+    row = row._replace(owner_vm_id=token.vm_id, owner_incarnation=token.incarnation)
+    row = advance(world, row, "send_home", now)
+    message = ForwardRequest(
+        request_id=row.request_id,
+        request=row.message,
+        service=row.service,
+        route_id=row.route_id,
+        remaining_s=row.deadline_s - now.monotonic_s,
+        is_for_home=True,
+        key=row.key,
+        target_incarnation=token.incarnation,
+    )
+    send_message(world, token.vm_id, message)
+
+
+@ending_hooks("home")
+def keep_home_record(
+    world: World, row: RequestRow, ending: Ending, now: Instant
+) -> None:
+    """Store the outcome for retries; forget a request that was not run."""
+    if row.once != "home" or not row.key:
+        return
+    record = world.home_records.get(record_id(row))
+    if record is None or record.request_id != row.request_id:
+        return
+    if _is_proven_not_run(row, ending):
+        world.home_records.remove(record.record_id)
+        return
+    refusal = ending.refusal
+    if ending.answer is None and refusal is None:
+        detail = "the caller was gone before the answer came"
+        refusal = make_refusal(HomeGoneError, detail)
+    world.home_records.replace(
+        record._replace(answer=ending.answer, refusal=refusal, is_open=False)
+    )
+
+
+def _is_proven_not_run(row: RequestRow, ending: Ending) -> bool:
+    if ending.state is RequestState.REFUSED:
+        return True
+    not_sent = (RequestState.ADMITTED, RequestState.QUEUED)
+    return ending.state is RequestState.CALLER_GONE and row.state in not_sent
--- /dev/null
+++ b/burdockhitch/systems/intake.py
@@ -0,0 +1,97 @@
+"""Turns what callers sent into request rows."""
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.errors import (
+    NotReadyError,
+    RequestRefusedError,
+    RouteNotFoundError,
+)
+from burdockhitch.systems.endings import abandon_request, make_refusal
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.tables.requests import RequestRow, RequestState
+from burdockhitch.tables.routes import RouteRow
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import (
+    World,
+    count,
+    current_revision,
+    next_sequence,
+    send,
+    start_timer,
+    take_events,
+)
+
+
+def match_route(world: World, method: str, path: str) -> RouteRow | None:
+    """Return the route with the exact path, else the longest prefix."""
+    path = path.partition("?")[0]
+    route = world.routes.get(f"{method} {path}")
+    while route is None and path:
+        path = path.rpartition("/")[0]
+        route = world.routes.get(f"{method} {path}/*")
+    return route
+
+
+def _refuse_arrival(
+    world: World,
+    event: events.CallerRequestArrived,
+    request_id: str,
+    error: type[RequestRefusedError],
+    detail: str,
+) -> None:
+    refusal = make_refusal(error, detail)
+    count(world, "refusals", "error", refusal.error)
+    send(world, commands.RefuseCaller(event.connection_id, request_id, refusal))
+
+
+def _accept(world: World, event: events.CallerRequestArrived, now: Instant) -> None:
+    sequence = next_sequence(world, "request")
+    request_id = f"{world.local.vm_id}:{world.local.incarnation}:{sequence}"
+    request = event.request
+    if not current_revision(world):
+        detail = "this VM has no configuration yet"
+        _refuse_arrival(world, event, request_id, NotReadyError, detail)
+        return
+    route = match_route(world, request.method, request.path)
+    if route is None:
+        detail = f"no route for {request.method} {request.path}"
+        _refuse_arrival(world, event, request_id, RouteNotFoundError, detail)
+        return
+    timeout_s = min(route.timeout_s, event.timeout_s or route.timeout_s)
+    deadline_s = now.monotonic_s + timeout_s
+    world.requests.insert(
+        RequestRow(
+            request_id=request_id,
+            connection_id=event.connection_id,
+            origin_vm_id="",
+            message=request,
+            service=route.service,
+            route_id=route.route_id,
+            is_idempotent=route.is_idempotent,
+            once=route.once,
+            key=event.key,
+            priority=route.priority,
+            state=RequestState.ACCEPTED,
+            accepted_at_s=now.monotonic_s,
+            deadline_s=deadline_s,
+            state_at_s=now.monotonic_s,
+        )
+    )
+    start_timer(world, TimerKind.DEADLINE, request_id, deadline_s)
+
+
+@system(Phase.INTAKE)
+def accept_requests(world: World, now: Instant) -> None:
+    """Accept or refuse what callers sent."""
+    for event in take_events(world, events.CallerRequestArrived):
+        count(world, "requests_accepted")
+        _accept(world, event, now)
+
+
+@system(Phase.INTAKE)
+def abandon_requests(world: World, now: Instant) -> None:
+    """End the requests of callers that are gone."""
+    for event in take_events(world, events.CallerGone):
+        for row in world.requests.select("connection_id", event.connection_id):
+            abandon_request(world, row, now)
--- /dev/null
+++ b/burdockhitch/systems/membership.py
@@ -0,0 +1,239 @@
+"""Finds out which VMs are alive by direct and indirect probes.
+
+See Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent
+Infection-style Process Group Membership Protocol", DSN 2002.
+"""
+
+from burdockhitch import commands
+from burdockhitch.clock import Instant
+from burdockhitch.messages import (
+    Ack,
+    Join,
+    LatencyReport,
+    Ping,
+    PingRequest,
+    View,
+    VmDigest,
+)
+from burdockhitch.systems.capacity import note_load, report_load
+from burdockhitch.systems.gossip import (
+    choose_peers,
+    make_digest,
+    merge_digest,
+    other_vms,
+    set_status,
+    take_digests,
+    whole_view,
+)
+from burdockhitch.systems.spread import note_revision
+from burdockhitch.systems.timing import message_handlers, timer_handlers
+from burdockhitch.tables.revisions import ProbeRow, RelayRow
+from burdockhitch.tables.services import LatencyRow
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import (
+    World,
+    count,
+    current_revision,
+    next_sequence,
+    send,
+    send_message,
+    start_timer,
+    stop_timer,
+)
+
+JOIN_PERIOD_S = 1.0
+RELAYS_MAX = 256
+
+
+def start_membership(world: World, now: Instant) -> None:
+    """Insert this VM and start to probe and to join."""
+    settings = world.settings.vm
+    own = VmRow(
+        vm_id=settings.vm_id,
+        incarnation=world.local.incarnation,
+        refutation=0,
+        zone=settings.zone,
+        region=settings.region,
+        caller_address=settings.caller_address,
+        message_address=settings.message_address,
+        status=VmStatus.ALIVE,
+        changed_at_s=now.monotonic_s,
+    )
+    world.vms.insert(own)
+    join_seeds(world, "", now)
+    period_s = world.settings.membership.probe_period_s
+    offset_s = world.rng.random() * period_s
+    start_timer(world, TimerKind.PROBE_PERIOD, "", now.monotonic_s + offset_s)
+
+
+@timer_handlers(TimerKind.JOIN)
+def join_seeds(world: World, _subject: str, now: Instant) -> None:
+    """Ask the seeds and the listed VMs for the view until one is known."""
+    own = world.vms.fetch(world.local.vm_id)
+    addresses = set(world.settings.membership.seeds)
+    addresses |= {row.message_address for row in world.listings if row.vm_id}
+    known = {row.message_address for row in world.vms}
+    if other_vms(world) and addresses <= known:
+        return
+    for address in sorted(addresses - known):
+        message = Join(make_digest(own))
+        send(world, commands.SendMessage("", address, message))
+    due_s = now.monotonic_s + JOIN_PERIOD_S * (1 + world.rng.random())
+    start_timer(world, TimerKind.JOIN, "", due_s)
+
+
+@message_handlers("join")
+def take_join(world: World, sender: str, message: Join, now: Instant) -> None:
+    """Send the whole view to a VM that starts."""
+    merge_digest(world, message.digest, now)
+    address = message.digest.message_address
+    send(world, commands.SendMessage(sender, address, whole_view(world)))
+
+
+@message_handlers("view")
+def take_view(world: World, sender: str, message: View, now: Instant) -> None:
+    """Merge changes, or the whole view of another VM."""
+    _merge(world, message.digests, now)
+    note_revision(world, sender, message.revision)
+
+
+def _merge(world: World, digests: tuple[VmDigest, ...], now: Instant) -> None:
+    for digest in digests:
+        merge_digest(world, digest, now)
+
+
+def _next_target(world: World) -> VmRow | None:
+    others = other_vms(world)
+    if not others:
+        return None
+    sequence = next_sequence(world, "probe_order")
+    if sequence % len(others) == 0:
+        return world.rng.choice(others)
+    return others[sequence % len(others)]
+
+
+@timer_handlers(TimerKind.PROBE_PERIOD)
+def probe_next(world: World, _subject: str, now: Instant) -> None:
+    """Probe one VM and plan the next period."""
+    settings = world.settings.membership
+    due_s = now.monotonic_s + settings.probe_period_s
+    start_timer(world, TimerKind.PROBE_PERIOD, "", due_s)
+    target = _next_target(world)
+    if target is None or target.vm_id in world.probes:
+        return
+    sequence = next_sequence(world, "probe")
+    world.probes.insert(ProbeRow(target.vm_id, sequence, False))
+    send_ping(world, target.vm_id, sequence)
+    ack_due_s = now.monotonic_s + settings.ack_timeout_s
+    start_timer(world, TimerKind.ACK, target.vm_id, ack_due_s)
+    start_timer(world, TimerKind.ROUND_END, target.vm_id, due_s)
+
+
+def send_ping(world: World, vm_id: str, sequence: int) -> None:
+    """Send a probe with what this VM knows."""
+    reports = tuple(
+        LatencyReport(row.service, row.median_s, row.n_owned, row.n_suspect)
+        for row in world.latencies
+        if row.key[1] == world.local.vm_id
+    )
+    revision = current_revision(world)
+    message = Ping(sequence, revision, take_digests(world), reports)
+    send_message(world, vm_id, message)
+
+
+@message_handlers("ping")
+def take_ping(world: World, sender: str, message: Ping, now: Instant) -> None:
+    """Answer a probe, and tell a doubted sender of the doubt."""
+    _merge(world, message.digests, now)
+    for report in message.latencies:
+        key = (report.service, sender)
+        world.latencies.put(LatencyRow(key, report.service, *report[1:]))
+    digests = take_digests(world)
+    row = world.vms.get(sender)
+    if row is None:
+        digests = ()
+    elif row.status in (VmStatus.SUSPECT, VmStatus.DEAD):
+        digests = (make_digest(row), *digests)
+    services = world.capacities.select("vm_id", world.local.vm_id)
+    loads = tuple(report_load(world, capacity.service) for capacity in services)
+    revision = current_revision(world)
+    ack = Ack(message.sequence, world.local.vm_id, revision, digests, loads)
+    send_message(world, sender, ack)
+    note_revision(world, sender, message.revision)
+
+
+@message_handlers("ack")
+def take_ack(world: World, sender: str, message: Ack, now: Instant) -> None:
+    """End the probe, or pass on an ack that another VM asked for."""
+    _merge(world, message.digests, now)
+    note_revision(world, sender, message.revision)
+    for load in message.loads:
+        note_load(world, sender, load)
+    relay = world.relays.get(message.sequence)
+    if relay is not None and sender == message.target_vm_id:
+        world.relays.remove(message.sequence)
+        passed_on = Ack(
+            relay.origin_sequence, sender, message.revision, (), message.loads
+        )
+        send_message(world, relay.origin_vm_id, passed_on)
+        return
+    _end_probe(world, message, is_direct=sender == message.target_vm_id)
+
+
+def _end_probe(world: World, message: Ack, is_direct: bool) -> None:
+    vm_id = message.target_vm_id
+    probe = world.probes.get(vm_id)
+    vm = world.vms.get(vm_id)
+    if probe is None or probe.sequence != message.sequence or vm is None:
+        count(world, "acks_dropped")
+        return
+    world.probes.remove(vm_id)
+    stop_timer(world, TimerKind.ACK, vm_id)
+    stop_timer(world, TimerKind.ROUND_END, vm_id)
+    if vm.is_reachable is not is_direct:
+        world.vms.replace(vm._replace(is_reachable=is_direct))
+
+
+@timer_handlers(TimerKind.ACK)
+def probe_indirectly(world: World, vm_id: str, now: Instant) -> None:
+    """Ask other VMs to probe one that did not answer."""
+    probe = world.probes.get(vm_id)
+    if probe is None:
+        return
+    for peer in choose_peers(world, world.settings.membership.n_indirect):
+        if peer.vm_id != vm_id:
+            send_message(world, peer.vm_id, PingRequest(probe.sequence, vm_id))
+
+
+@message_handlers("ping_request")
+def take_ping_request(
+    world: World, sender: str, message: PingRequest, now: Instant
+) -> None:
+    """Probe a VM for another one."""
+    sequence = next_sequence(world, "probe")
+    world.relays.put(RelayRow(sequence, sender, message.sequence))
+    if len(world.relays) > RELAYS_MAX:
+        world.relays.remove(next(iter(world.relays)).sequence)
+    send_ping(world, message.target_vm_id, sequence)
+
+
+@timer_handlers(TimerKind.ROUND_END)
+def suspect_silent(world: World, vm_id: str, now: Instant) -> None:
+    """Suspect a VM that no probe reached."""
+    world.probes.discard(vm_id)
+    row = world.vms.get(vm_id)
+    if row is None:
+        return
+    if row.status is VmStatus.ALIVE:
+        set_status(world, row, VmStatus.SUSPECT, now, row.refutation)
+    elif row.status is VmStatus.LEAVING:
+        set_status(world, row, VmStatus.DEAD, now, row.refutation)
+
+
+@timer_handlers(TimerKind.SUSPICION)
+def declare_dead(world: World, vm_id: str, now: Instant) -> None:
+    """Declare a VM dead that did not refute the suspicion."""
+    row = world.vms.get(vm_id)
+    if row is not None and row.status is VmStatus.SUSPECT:
+        set_status(world, row, VmStatus.DEAD, now, row.refutation)
--- /dev/null
+++ b/burdockhitch/systems/routing.py
@@ -0,0 +1,141 @@
+"""Chooses the VM whose backend servers run an admitted request."""
+
+from collections.abc import Callable
+
+from burdockhitch.clock import Instant
+from burdockhitch.errors import NoBackendServerError
+from burdockhitch.messages import ForwardRequest
+from burdockhitch.registry import Registry
+from burdockhitch.systems.capacity import count_free, reserve_forward
+from burdockhitch.systems.endings import advance, make_refusal, refuse_request
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.tables.backend_servers import CapacityRow
+from burdockhitch.tables.requests import RequestRow, RequestState
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmStatus
+from burdockhitch.world import World, next_sequence, send_message, start_timer
+
+RESEND_S = 1.0
+RETRY_AFTER_S = 1.0
+
+RoutingPolicy = Callable[[World, RequestRow, list[CapacityRow]], CapacityRow]
+routing_policies: Registry[RoutingPolicy] = Registry("routing policy")
+
+
+@routing_policies("two_choices")
+def choose_of_two(
+    world: World, row: RequestRow, candidates: list[CapacityRow]
+) -> CapacityRow:
+    """Take the freer of two owners drawn by the number of their slots."""
+    weights = [capacity.n_slots for capacity in candidates]
+    first, second = world.rng.choices(candidates, weights, k=2)
+    return max(first, second, key=lambda capacity: capacity.n_free / capacity.n_slots)
+
+
+@routing_policies("random")
+def choose_random(
+    world: World, row: RequestRow, candidates: list[CapacityRow]
+) -> CapacityRow:
+    """Take any owner."""
+    return world.rng.choice(candidates)
+
+
+@routing_policies("round_robin")
+def choose_next(
+    world: World, row: RequestRow, candidates: list[CapacityRow]
+) -> CapacityRow:
+    """Take the owners in turn."""
+    sequence = next_sequence(world, f"round_robin {row.service}")
+    return candidates[sequence % len(candidates)]
+
+
+@routing_policies("least_loaded")
+def choose_least_loaded(
+    world: World, row: RequestRow, candidates: list[CapacityRow]
+) -> CapacityRow:
+    """Take the owner with the most free slots that this VM knows of."""
+    return max(candidates, key=lambda capacity: capacity.n_free)
+
+
+def _is_reachable(world: World, vm_id: str) -> bool:
+    vm = world.vms.get(vm_id)
+    return vm is not None and vm.status is VmStatus.ALIVE and vm.is_reachable
+
+
+def _find_candidates(world: World, row: RequestRow) -> list[CapacityRow]:
+    return [
+        capacity
+        for capacity in world.capacities.select("service", row.service)
+        if capacity.vm_id not in row.tried
+        and capacity.vm_id != world.local.vm_id
+        and _is_reachable(world, capacity.vm_id)
+    ]
+
+
+def _queue(world: World, row: RequestRow, now: Instant) -> None:
+    row = advance(world, row, "queue", now)
+    service = world.services.get(row.service)
+    if service is not None:
+        due_s = min(now.monotonic_s + service.queue_timeout_s, row.deadline_s)
+        start_timer(world, TimerKind.QUEUE, row.request_id, due_s)
+
+
+def _forward(
+    world: World, row: RequestRow, capacity: CapacityRow, now: Instant
+) -> None:
+    vm = world.vms.fetch(capacity.vm_id)
+    row = row._replace(
+        owner_vm_id=vm.vm_id,
+        owner_incarnation=vm.incarnation,
+        tried=(*row.tried, vm.vm_id),
+        n_tries=row.n_tries + 1,
+    )
+    row = advance(world, row, "forward", now)
+    reserve_forward(world, capacity)
+    send_forward(world, row, now)
+    start_timer(world, TimerKind.RESEND, row.request_id, now.monotonic_s + RESEND_S)
+
+
+def send_forward(world: World, row: RequestRow, now: Instant) -> None:
+    """Send a request to the owner it was routed to."""
+    message = ForwardRequest(
+        request_id=row.request_id,
+        request=row.message,
+        service=row.service,
+        route_id=row.route_id,
+        remaining_s=row.deadline_s - now.monotonic_s,
+        is_for_home=row.state is RequestState.AT_HOME,
+        key=row.key,
+        target_incarnation=row.owner_incarnation,
+    )
+    send_message(world, row.owner_vm_id, message)
+
+
+def _has_untried_server(world: World, row: RequestRow) -> bool:
+    slots = world.slots.select("service", row.service)
+    return any(slot.server_id not in row.tried for slot in slots)
+
+
+def route_request(world: World, row: RequestRow, now: Instant) -> None:
+    """Queue a request here, forward it, or refuse it."""
+    has_server = _has_untried_server(world, row)
+    if has_server and count_free(world, row.service) > 0:
+        _queue(world, row, now)
+        return
+    candidates = _find_candidates(world, row) if row.is_routable else []
+    if candidates:
+        policy = routing_policies[world.settings.policies.routing]
+        _forward(world, row, policy(world, row, candidates), now)
+    elif has_server:
+        _queue(world, row, now)
+    else:
+        detail = f"no backend server of {row.service} can be reached"
+        refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+
+
+@system(Phase.ROUTING)
+def route_requests(world: World, now: Instant) -> None:
+    """Route every admitted request."""
+    for row in world.requests.select("state", RequestState.ADMITTED):
+        route_request(world, row, now)
--- /dev/null
+++ b/burdockhitch/systems/timing.py
@@ -0,0 +1,54 @@
+"""Fires due timers and hands events to their registered handlers."""
+
+from collections.abc import Callable
+from typing import Any
+
+from burdockhitch import events
+from burdockhitch.clock import Instant
+from burdockhitch.messages import vm_messages
+from burdockhitch.registry import Registry
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.tables.revisions import OperationRow
+from burdockhitch.world import World, count, take_events
+
+TimerHandler = Callable[[World, str, Instant], None]
+MessageHandler = Callable[[World, str, Any, Instant], None]
+ReplyHandler = Callable[[World, OperationRow, events.PlatformReplied, Instant], None]
+
+timer_handlers: Registry[TimerHandler] = Registry("timer handler")
+message_handlers: Registry[MessageHandler] = Registry("message handler")
+reply_handlers: Registry[ReplyHandler] = Registry("platform reply handler")
+
+KIND_BY_MESSAGE_TYPE = {vm_messages[kind]: kind for kind in vm_messages}
+
+
+@system(Phase.TIMING)
+def fire_timers(world: World, now: Instant) -> None:
+    """Call the handler of every due timer."""
+    while True:
+        timer = world.timers.first("due_s")
+        if timer is None or timer.due_s > now.monotonic_s:
+            return
+        world.timers.remove(timer.timer_id)
+        kind, subject = timer.timer_id
+        timer_handlers[kind](world, subject, now)
+
+
+@system(Phase.MESSAGES)
+def deliver_messages(world: World, now: Instant) -> None:
+    """Call the handler of every message from another VM."""
+    for event in take_events(world, events.VmMessageArrived):
+        kind = KIND_BY_MESSAGE_TYPE[type(event.message)]
+        message_handlers[kind](world, event.sender_vm_id, event.message, now)
+
+
+@system(Phase.MESSAGES)
+def deliver_replies(world: World, now: Instant) -> None:
+    """Call the handler of every reply of the platform."""
+    for event in take_events(world, events.PlatformReplied):
+        operation = world.operations.get(event.operation_id)
+        if operation is None:
+            count(world, "platform_replies_dropped")
+            continue
+        world.operations.remove(event.operation_id)
+        reply_handlers[operation.purpose](world, operation, event, now)
--- /dev/null
+++ b/burdockhitch/systems/witness.py
@@ -0,0 +1,164 @@
+"""Notices requests that are lost when their VM dies.
+
+Each VM tells a witness in another availability zone which non-idempotent
+requests it has open. The witness decides nothing; it reports what a dead VM
+left open.
+"""
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.messages import Announce, OpenRequest
+from burdockhitch.systems.endings import Ending, ending_hooks
+from burdockhitch.systems.ownership import hash_score
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.timing import message_handlers, reply_handlers
+from burdockhitch.tables.requests import (
+    LostRow,
+    RequestRow,
+    RequestState,
+    WitnessedRow,
+)
+from burdockhitch.tables.revisions import ClosingRow, DutyRow, OperationRow
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import (
+    World,
+    count,
+    count_posted,
+    log_event,
+    send,
+    send_message,
+    start_operation,
+)
+
+WITNESS_DUTY = "witness"
+
+
+def choose_witness(world: World) -> str:
+    """Return the VM that hears of open requests, empty if there is none."""
+    vms = [
+        vm
+        for vm in world.vms.select("status", VmStatus.ALIVE)
+        if vm.vm_id != world.local.vm_id
+    ]
+    duty = f"{WITNESS_DUTY} {world.local.vm_id}"
+
+    def order(vm: VmRow) -> tuple[bool, int]:
+        return vm.zone != world.local.zone, hash_score(vm.vm_id, duty)
+
+    return max(vms, key=order).vm_id if vms else ""
+
+
+def _is_witnessed(row: RequestRow) -> bool:
+    return not row.is_idempotent and not row.origin_vm_id
+
+
+def _open_request(world: World, row: RequestRow) -> OpenRequest:
+    route = world.routes.get(row.route_id)
+    requester = route.requester if route else ""
+    return OpenRequest(row.request_id, row.service, row.route_id, requester)
+
+
+@system(Phase.OWNERSHIP)
+def follow_view(world: World, now: Instant) -> None:
+    """Change the witness when the membership view says so."""
+    version = count_posted(world, events.ViewChanged)
+    row = world.witnesses.get(WITNESS_DUTY)
+    if row is not None and row.view_version == version:
+        return
+    witness = choose_witness(world)
+    world.witnesses.put(DutyRow(WITNESS_DUTY, witness, version))
+    if row is not None and row.vm_id == witness:
+        return
+    opened = tuple(
+        _open_request(world, request)
+        for request in world.requests
+        if _is_witnessed(request)
+    )
+    if witness:
+        send_message(world, witness, Announce(opened, (), True))
+
+
+def _announce(
+    world: World, opened: tuple[OpenRequest, ...], closed: tuple[str, ...]
+) -> None:
+    row = world.witnesses.get(WITNESS_DUTY)
+    if row is not None and row.vm_id:
+        send_message(world, row.vm_id, Announce(opened, closed, False))
+
+
+@system(Phase.INTAKE)
+def announce_opened(world: World, now: Instant) -> None:
+    """Tell the witness about new requests before they are dispatched."""
+    opened = tuple(
+        _open_request(world, row)
+        for row in world.requests.select("state", RequestState.ACCEPTED)
+        if _is_witnessed(row)
+    )
+    if opened:
+        _announce(world, opened, ())
+
+
+@ending_hooks("witness")
+def note_closed(world: World, row: RequestRow, ending: Ending, now: Instant) -> None:
+    """Remember to tell the witness that a request ended."""
+    if _is_witnessed(row):
+        world.closings.put(ClosingRow(row.request_id))
+
+
+@system(Phase.ACCOUNTING)
+def announce_closed(world: World, now: Instant) -> None:
+    """Tell the witness which requests ended in this tick."""
+    closed = tuple(row.request_id for row in world.closings)
+    if closed:
+        world.closings.clear()
+        _announce(world, (), closed)
+
+
+@message_handlers("announce")
+def take_announce(world: World, sender: str, message: Announce, now: Instant) -> None:
+    """Store what another VM has open."""
+    if message.is_whole:
+        for row in world.witnessed.select("vm_id", sender):
+            world.witnessed.remove(row.request_id)
+    for opened in message.opened:
+        row = WitnessedRow(opened.request_id, sender, *opened[1:])
+        world.witnessed.put(row)
+    for request_id in message.closed:
+        world.witnessed.discard(request_id)
+        if request_id in world.lost:
+            world.lost.remove(request_id)
+            log_event(world, "INFO", "lost_request_ended", request_id=request_id)
+
+
+@system(Phase.OWNERSHIP)
+def report_lost(world: World, now: Instant) -> None:
+    """Report what dead VMs left open."""
+    for vm_id in world.witnessed.values("vm_id"):
+        vm = world.vms.get(vm_id)
+        if vm is not None and vm.status is VmStatus.DEAD:
+            _report(world, vm_id, now)
+
+
+def _report(world: World, vm_id: str, now: Instant) -> None:
+    rows = world.witnessed.select("vm_id", vm_id)
+    for row in rows:
+        world.witnessed.remove(row.request_id)
+        world.lost.put(LostRow(*row, noticed_at_s=now.monotonic_s))
+        count(world, "requests_lost", "service", row.service)
+        log_event(world, "ERROR", "request_lost", **row._asdict())
+    operation_id = start_operation(world, "lost_write", vm_id, now)
+    lines = "".join(
+        f"{row.request_id} {row.service} {row.route_id} # {row.requester}\n"
+        for row in rows
+    )
+    name = f"lost-{vm_id}-{operation_id}"
+    send(world, commands.WriteObject(operation_id, name, lines.encode()))
+
+
+@reply_handlers("lost_write")
+def take_lost_reply(
+    world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
+) -> None:
+    """Count reports that the object store did not take."""
+    if event.error is not None:
+        count(world, "lost_reports_unstored")
--- /dev/null
+++ b/burdockhitch/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Entities as rows: one module per entity."""
--- /dev/null
+++ b/burdockhitch/world.py
@@ -0,0 +1,236 @@
+"""All tables of one VM and the few operations every system needs."""
+
+import random
+from typing import Any, NamedTuple
+
+from burdockhitch import commands
+from burdockhitch.clock import Clock, Instant
+from burdockhitch.settings import Settings
+from burdockhitch.tables import (
+    backend_servers,
+    ejection_permits,
+    health_signals,
+    mailboxes,
+    requests,
+    revisions,
+    routes,
+    services,
+    timers,
+    vms,
+)
+from burdockhitch.tables.table import Table
+
+MICROSECONDS_PER_S = 1_000_000
+
+
+class LocalVm(NamedTuple):
+    """This VM and its process.
+
+    Attributes:
+        vm_id: Name from the settings.
+        incarnation: Start time of the process in microseconds since 1970.
+        zone: Availability zone.
+        region: Region.
+    """
+
+    vm_id: str
+    incarnation: int
+    zone: str
+    region: str
+
+    def home_token(self) -> str:
+        """Return the token that binds a key to this incarnation."""
+        return f"{self.vm_id}.{self.incarnation}"
+
+
+class World(NamedTuple):
+    """The tables of one VM."""
+
+    local: LocalVm
+    settings: Settings
+    clock: Clock
+    rng: random.Random
+    vms: Table[vms.VmRow]
+    services: Table[services.ServiceRow]
+    retry_budgets: Table[services.RetryBudgetRow]
+    latencies: Table[services.LatencyRow]
+    backend_servers: Table[backend_servers.BackendServerRow]
+    ownerships: Table[backend_servers.OwnershipRow]
+    slots: Table[backend_servers.SlotRow]
+    capacities: Table[backend_servers.CapacityRow]
+    health_signals: Table[health_signals.HealthRow]
+    permits: Table[ejection_permits.PermitRow]
+    permit_uses: Table[ejection_permits.PermitUseRow]
+    routes: Table[routes.RouteRow]
+    limits: Table[routes.LimitRow]
+    buckets: Table[routes.BucketRow]
+    windows: Table[routes.WindowRow]
+    requests: Table[requests.RequestRow]
+    attempts: Table[requests.AttemptRow]
+    ended: Table[requests.EndedRow]
+    home_records: Table[requests.HomeRow]
+    witnessed: Table[requests.WitnessedRow]
+    lost: Table[requests.LostRow]
+    timers: Table[timers.TimerRow]
+    revisions: Table[revisions.RevisionRow]
+    operations: Table[revisions.OperationRow]
+    probes: Table[revisions.ProbeRow]
+    relays: Table[revisions.RelayRow]
+    failures: Table[revisions.FailureRow]
+    witnesses: Table[revisions.DutyRow]
+    listings: Table[revisions.ListingRow]
+    closings: Table[revisions.ClosingRow]
+    inbox: Table[mailboxes.InboxRow]
+    outbox: Table[mailboxes.OutboxRow]
+    counters: Table[mailboxes.CounterRow]
+    sequences: Table[mailboxes.CounterRow]
+
+
+def make_world(settings: Settings, clock: Clock, rng: random.Random) -> World:
+    """Return the empty tables of a starting VM.
+
+    Args:
+        settings: Checked settings.
+        clock: Source of time.
+        rng: Source of random numbers.
+    """
+    started = clock.now().utc
+    incarnation = int(started.timestamp() * MICROSECONDS_PER_S)
+    local = LocalVm(
+        settings.vm.vm_id, incarnation, settings.vm.zone, settings.vm.region
+    )
+    return World(
+        local=local,
+        settings=settings,
+        clock=clock,
+        rng=rng,
+        vms=vms.make_vms(),
+        services=services.make_services(),
+        retry_budgets=services.make_retry_budgets(),
+        latencies=services.make_latencies(),
+        backend_servers=backend_servers.make_backend_servers(),
+        ownerships=backend_servers.make_ownerships(),
+        slots=backend_servers.make_slots(),
+        capacities=backend_servers.make_capacities(),
+        health_signals=health_signals.make_health_signals(),
+        permits=ejection_permits.make_permits(),
+        permit_uses=ejection_permits.make_permit_uses(),
+        routes=routes.make_routes(),
+        limits=routes.make_limits(),
+        buckets=routes.make_buckets(),
+        windows=routes.make_windows(),
+        requests=requests.make_requests(),
+        attempts=requests.make_attempts(),
+        ended=requests.make_ended(),
+        home_records=requests.make_home_records(),
+        witnessed=requests.make_witnessed(),
+        lost=requests.make_lost(),
+        timers=timers.make_timers(),
+        revisions=revisions.make_revisions(),
+        operations=revisions.make_operations(),
+        probes=revisions.make_probes(),
+        relays=revisions.make_relays(),
+        failures=revisions.make_failures(),
+        witnesses=revisions.make_witnesses(),
+        listings=revisions.make_listings(),
+        closings=revisions.make_closings(),
+        inbox=mailboxes.make_inbox(),
+        outbox=mailboxes.make_outbox(),
+        counters=mailboxes.make_counters(),
+        sequences=mailboxes.make_counters(),
+    )
+
+
+def next_sequence(world: World, name: str) -> int:
+    """Return the next number of a named sequence, from 1."""
+    key = (name, "", "")
+    row = world.sequences.get(key)
+    if row is None:
+        world.sequences.insert(mailboxes.CounterRow(key, 1))
+        return 1
+    world.sequences.replace(mailboxes.CounterRow(key, row.n_events + 1))
+    return row.n_events + 1
+
+
+def post_event(world: World, event: Any) -> None:
+    """Put an event into the inbox."""
+    sequence = next_sequence(world, "inbox")
+    kind = type(event).__name__
+    next_sequence(world, kind)
+    world.inbox.insert(mailboxes.InboxRow(sequence, kind, event))
+
+
+def count_posted(world: World, event_type: type[Any]) -> int:
+    """Return how many events of a type were posted since the start."""
+    row = world.sequences.get((event_type.__name__, "", ""))
+    return row.n_events if row else 0
+
+
+def take_events(world: World, event_type: type[Any]) -> list[Any]:
+    """Take all events of a type out of the inbox, oldest first."""
+    rows = world.inbox.select("kind", event_type.__name__)
+    for row in rows:
+        world.inbox.remove(row.sequence)
+    return [row.event for row in rows]
+
+
+def send(world: World, command: Any) -> None:
+    """Put a command into the outbox."""
+    sequence = next_sequence(world, "outbox")
+    world.outbox.insert(mailboxes.OutboxRow(sequence, type(command).__name__, command))
+
+
+def count(
+    world: World, name: str, label: str = "", value: str = "", n_events: int = 1
+) -> None:
+    """Add events to a counter of the metrics."""
+    key = (name, label, value)
+    row = world.counters.get(key)
+    if row is not None:
+        n_events += row.n_events
+    world.counters.put(mailboxes.CounterRow(key, n_events))
+
+
+def log_event(world: World, level: str, event: str, **fields: Any) -> None:
+    """Ask for a structured line in the log."""
+    send(world, commands.LogEvent(level, event, fields))
+
+
+def start_timer(
+    world: World, kind: timers.TimerKind, subject: str, due_s: float
+) -> None:
+    """Start a timer, or move the one with the same kind and subject."""
+    world.timers.put(timers.TimerRow((kind, subject), due_s))
+
+
+def stop_timer(world: World, kind: timers.TimerKind, subject: str) -> None:
+    """Stop a timer if it runs."""
+    world.timers.discard((kind, subject))
+
+
+def send_message(world: World, vm_id: str, message: Any) -> bool:
+    """Send a message to a VM of the membership view.
+
+    Returns:
+        Whether the VM is known.
+    """
+    vm = world.vms.get(vm_id)
+    if vm is None:
+        return False
+    send(world, commands.SendMessage(vm_id, vm.message_address, message))
+    return True
+
+
+def current_revision(world: World) -> int:
+    """Return the number of the revision in force, 0 for none."""
+    row = world.revisions.get("in_force")
+    return row.number if row else 0
+
+
+def start_operation(world: World, purpose: str, subject: str, now: Instant) -> str:
+    """Record an operation on the platform and return its identity."""
+    sequence = next_sequence(world, "operation")
+    operation_id = f"{world.local.home_token()}.{sequence}"
+    row = revisions.OperationRow(operation_id, purpose, subject, now.monotonic_s)
+    world.operations.insert(row)
+    return operation_id
