Run the whole path as distinct processes

Cause: the path was written but never run. Change: tools/fleet.py starts the platform stand-in, backend servers and entry VMs by themselves and asks over HTTP.

--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,327 @@
+"""Starts a small fleet on loopback as distinct processes, for demo and tests.
+
+The processes are started by this script; no process of the system starts
+another one. All of them are stopped by their process identity.
+"""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
+
+START_TIMEOUT_S = 20.0
+POLL_S = 0.05
+STOP_TIMEOUT_S = 15.0
+HTTP_TIMEOUT_S = 15.0
+
+
+class VmPlan(NamedTuple):
+    """Name and place of an entry VM to start."""
+
+    vm_id: str
+    zone: str
+
+
+class ServerPlan(NamedTuple):
+    """Backend servers of one service in one availability zone."""
+
+    service: str
+    zone: str
+    n_servers: int
+    n_slots: int
+
+
+class RunningVm(NamedTuple):
+    """A started entry VM."""
+
+    vm_id: str
+    zone: str
+    caller_address: str
+    message_address: str
+    admin_address: str
+    process: Any
+
+
+class RunningServer(NamedTuple):
+    """A started backend server."""
+
+    service: str
+    zone: str
+    address: str
+    n_slots: int
+
+
+class Fleet(NamedTuple):
+    """A started fleet."""
+
+    folder: Path
+    platform_address: str
+    platform: Any
+    vms: list[RunningVm]
+    servers: list[RunningServer]
+    processes: list[Any]
+
+
+class Reply(NamedTuple):
+    """An HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class FleetStartError(Exception):
+    """A process of the fleet did not start in time."""
+
+
+def free_addresses(n_addresses: int) -> list[str]:
+    """Return loopback addresses with ports that the system chose."""
+    sockets = []
+    for _ in range(n_addresses):
+        opened = socket.socket()
+        opened.bind(("127.0.0.1", 0))
+        sockets.append(opened)
+    addresses = [f"127.0.0.1:{opened.getsockname()[1]}" for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return addresses
+
+
+def ask(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = HTTP_TIMEOUT_S,
+) -> Reply:
+    """Send one request over its own connection.
+
+    Raises:
+        OSError: If the address can't be reached or the answer breaks off.
+    """
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        content = response.read()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return Reply(response.status, names, content)
+    except http.client.HTTPException as error:
+        raise ConnectionError(str(error)) from None
+    finally:
+        connection.close()
+
+
+def ask_json(address: str, path: str) -> Any:
+    """Return a decoded JSON document."""
+    return json.loads(ask(address, "GET", path).body)
+
+
+def put_json(address: str, path: str, document: Any) -> None:
+    """Send a JSON document."""
+    ask(address, "PUT", path, json.dumps(document).encode())
+
+
+def _start(folder: Path, name: str, arguments: list[str]) -> Any:
+    log_path = folder / f"{name}.log"
+    with log_path.open("ab") as log_file:
+        return subprocess.Popen(
+            [sys.executable, "-m", "burdockhitch", *arguments],
+            stdout=log_file,
+            stderr=log_file,
+            stdin=subprocess.DEVNULL,
+            cwd=Path(__file__).parent.parent,
+        )
+
+
+def wait_until(condition: Any, what: str, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        FleetStartError: If it does not hold in time.
+    """
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        with contextlib.suppress(OSError, ValueError):
+            if condition():
+                return
+        time.sleep(POLL_S)
+    raise FleetStartError(what)
+
+
+def _settings_text(
+    plan: VmPlan, addresses: list[str], platform: str, seeds: list[str], extra: str
+) -> str:
+    return f"""[vm]
+vm_id = {plan.vm_id}
+zone = {plan.zone}
+caller_address = {addresses[0]}
+message_address = {addresses[1]}
+admin_address = {addresses[2]}
+
+[platform]
+address = {platform}
+
+[membership]
+seeds = {" ".join(seeds)}
+{extra}
+"""
+
+
+def start_vm(
+    folder: Path,
+    plan: VmPlan,
+    addresses: list[str],
+    platform: str,
+    seeds: list[str],
+    extra: str = "",
+) -> RunningVm:
+    """Write the settings of an entry VM and start it."""
+    path = folder / f"{plan.vm_id}.ini"
+    path.write_text(_settings_text(plan, addresses, platform, seeds, extra))
+    process = _start(folder, plan.vm_id, ["serve", "--settings", str(path)])
+    return RunningVm(plan.vm_id, plan.zone, *addresses, process=process)
+
+
+def _start_servers(
+    folder: Path, plans: list[ServerPlan], processes: list[Any]
+) -> list[RunningServer]:
+    servers = []
+    for plan in plans:
+        addresses = free_addresses(plan.n_servers)
+        arguments = ["standin", "servers", "--slots", str(plan.n_slots)]
+        for address in addresses:
+            arguments += ["--address", address]
+        name = f"servers-{plan.service}-{plan.zone}"
+        processes.append(_start(folder, name, arguments))
+        servers += [
+            RunningServer(plan.service, plan.zone, address, plan.n_slots)
+            for address in addresses
+        ]
+    return servers
+
+
+def write_rules(servers: list[RunningServer], other_rules: str) -> str:
+    """Return rules that name the started backend servers."""
+    lines = [
+        f"server {server.service} {server.address} zone={server.zone} "
+        f"slots={server.n_slots} # Tools"
+        for server in servers
+    ]
+    return other_rules + "\n".join(lines) + "\n"
+
+
+def push(fleet: Fleet, text: str, *arguments: str) -> subprocess.CompletedProcess[str]:
+    """Push rules as an operator does."""
+    path = fleet.folder / "rules.txt"
+    path.write_text(text)
+    command = [sys.executable, "-m", "burdockhitch", "rules", "push", str(path)]
+    command += ["--platform", fleet.platform_address, *arguments]
+    root = Path(__file__).parent.parent
+    return subprocess.run(command, capture_output=True, text=True, cwd=root)
+
+
+def is_ready(vm: RunningVm, n_vms: int, revision: int) -> bool:
+    """Return whether a VM has a revision and sees the whole fleet."""
+    tables = ask_json(vm.admin_address, "/state")["tables"]
+    alive = [row for row in tables["vms"] if row["status"] == "alive"]
+    numbers = [row["number"] for row in tables["revisions"]]
+    return len(alive) == n_vms and numbers == [revision]
+
+
+@contextlib.contextmanager
+def run_fleet(
+    vm_plans: list[VmPlan],
+    server_plans: list[ServerPlan],
+    other_rules: str,
+    extra_settings: str = "",
+) -> Iterator[Fleet]:
+    """Run a fleet until the block ends, however it ends.
+
+    Args:
+        vm_plans: Entry VMs.
+        server_plans: Backend servers.
+        other_rules: Rules besides those of the backend servers.
+        extra_settings: Further lines of every VM's settings file.
+    """
+    processes: list[Any] = []
+    with tempfile.TemporaryDirectory(prefix="burdockhitch-") as name:
+        folder = Path(name)
+        try:
+            yield _start_fleet(
+                folder, processes, vm_plans, server_plans, other_rules, extra_settings
+            )
+        finally:
+            stop_all(processes)
+
+
+def _start_fleet(
+    folder: Path,
+    processes: list[Any],
+    vm_plans: list[VmPlan],
+    server_plans: list[ServerPlan],
+    other_rules: str,
+    extra_settings: str,
+) -> Fleet:
+    platform = free_addresses(1)[0]
+    platform_process = _start(
+        folder, "platform", ["standin", "platform", "--address", platform]
+    )
+    processes.append(platform_process)
+    servers = _start_servers(folder, server_plans, processes)
+    wait_until(lambda: ask(platform, "GET", "/vms").status == 200, "platform")
+    addresses = free_addresses(3 * len(vm_plans))
+    groups = [addresses[i : i + 3] for i in range(0, len(addresses), 3)]
+    listed = [
+        {
+            "vm_id": plan.vm_id,
+            "zone": plan.zone,
+            "state": "live",
+            "message_address": group[1],
+        }
+        for plan, group in zip(vm_plans, groups, strict=True)
+    ]
+    put_json(platform, "/vms", listed)
+    seeds = [group[1] for group in groups[:3]]
+    vms = []
+    for plan, group in zip(vm_plans, groups, strict=True):
+        vm = start_vm(folder, plan, group, platform, seeds, extra_settings)
+        processes.append(vm.process)
+        vms.append(vm)
+    fleet = Fleet(folder, platform, platform_process, vms, servers, processes)
+    pushed = push(fleet, write_rules(servers, other_rules), "--operator", "tools")
+    if pushed.returncode:
+        raise FleetStartError(pushed.stderr)
+    for vm in vms:
+        wait_until(lambda vm=vm: is_ready(vm, len(vms), 1), vm.vm_id)  # type: ignore[misc]
+    return fleet
+
+
+def stop_all(processes: list[Any]) -> None:
+    """End processes that still run, by their identity."""
+    for process in processes:
+        if process.poll() is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(process.pid, signal.SIGCONT)
+            process.kill()
+    for process in processes:
+        process.wait(STOP_TIMEOUT_S)
+
+
+def read_records(fleet: Fleet) -> list[dict[str, Any]]:
+    """Return what all backend servers ran."""
+    records = []
+    for server in fleet.servers:
+        document = ask_json(server.address, "/standin/records")
+        records += document["records"]
+    return records
