Never state 'not run' after an earlier try, and forget nothing that may repeat

A request now remembers may_have_run, and a refusal becomes 'outcome unknown'. 2. Refusals are remembered, and a watermark per sender drops what is older than the memory. 3. The check runs after intake, and listeners close before the process ends.

--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; run them with ``python -m benchmarks``."""
--- a/burdockhitch/adapters/callers.py
+++ b/burdockhitch/adapters/callers.py
@@ -16,6 +16,7 @@
 from burdockhitch.errors import BodyTooLargeError, error_name
 from burdockhitch.messages import Refusal, RequestMessage
 from burdockhitch.problems import make_document, outcome_of, problems
+from burdockhitch.systems.draining import is_leaving
 
 ADDRESSES_PATH = "/.well-known/burdockhitch/addresses/"
 ANONYMOUS = "anonymous"
@@ -137,7 +138,15 @@
 
 
 def _take(process: Process, connection_id: int) -> tuple[Any, Any] | None:
-    return process.callers.pop(connection_id, None)
+    taken: tuple[Any, Any] | None = process.callers.pop(connection_id, None)
+    if taken is not None and is_leaving(process.world):
+        _close_after_answer(taken[0])
+    return taken
+
+
+def _close_after_answer(request: Any) -> None:
+    request.setHeader("connection", "close")
+    request.channel.persistent = False
 
 
 @senders("AnswerCaller")
--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -32,6 +32,14 @@
     log.write_event(command.level, command.event, command.fields)
 
 
+@senders("CloseListeners")
+def close_listeners(process: Process, _command: commands.CloseListeners) -> None:
+    """Stop to take connections."""
+    for port in process.ports:
+        port.stopListening()
+    process.ports.clear()
+
+
 @senders("StopProcess")
 def stop_process(process: Process, _command: commands.StopProcess) -> None:
     """End the process after the last answers were written."""
@@ -56,6 +64,7 @@
         backend_agent=servers.make_agent(reactor, server_settings.connect_timeout_s),
         platform_client=_make_client(world, reactor),
         links=links.Links(world, reactor, ticker.post),
+        ports=[],
     )
     return process
 
@@ -68,8 +77,15 @@
     return treq.client.HTTPClient(agent)
 
 
-def listen(reactor: Any, address: str, site: Site) -> None:
-    """Listen on ``ip:port``; the process ends if that fails."""
+def listen(reactor: Any, address: str, site: Site, ports: list[Any]) -> None:
+    """Listen on ``ip:port``; the process ends if that fails.
+
+    Args:
+        reactor: Twisted reactor.
+        address: Where to listen.
+        site: What to serve.
+        ports: Gets the listening port.
+    """
     host, _, port = address.rpartition(":")
     endpoint = serverFromString(reactor, f"tcp:{port}:interface={host}")
 
@@ -79,7 +95,7 @@
         )
         reactor.stop()
 
-    endpoint.listen(site).addErrback(fail)
+    endpoint.listen(site).addCallbacks(ports.append, fail)
 
 
 def _handle_signals(process: Process) -> None:
@@ -114,8 +130,9 @@
     start_membership(world, now)
     start_configuration(world, now)
     process.links.start()
-    listen(loop, settings.vm.caller_address, callers.make_site(process))
-    listen(loop, settings.vm.admin_address, Site(AdminFront(world).app.resource()))
+    listen(loop, settings.vm.caller_address, callers.make_site(process), process.ports)
+    admin_site = Site(AdminFront(world).app.resource())
+    listen(loop, settings.vm.admin_address, admin_site, process.ports)
     process.ticker.request_tick()
     loop.callWhenRunning(_handle_signals, process)
     log.write_event("INFO", "started", {"incarnation": world.local.incarnation})
--- a/burdockhitch/adapters/process.py
+++ b/burdockhitch/adapters/process.py
@@ -19,6 +19,7 @@
         backend_agent: Agent for backend servers.
         platform_client: HTTP client for the platform and for probes.
         links: Sockets to other VMs.
+        ports: Listening ports.
     """
 
     world: World
@@ -29,6 +30,7 @@
     backend_agent: Any
     platform_client: Any
     links: Any
+    ports: list[Any]
 
 
 Sender = Callable[[Process, Any], None]
--- a/burdockhitch/commands.py
+++ b/burdockhitch/commands.py
@@ -158,5 +158,9 @@
     fields: dict[str, Any]
 
 
+class CloseListeners(NamedTuple):
+    """Take no further connections; open ones are still served."""
+
+
 class StopProcess(NamedTuple):
-    """Close the listeners and end the process."""
+    """End the process."""
--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -115,6 +115,12 @@
     """The process was asked to stop."""
 
 
+class StopDue(NamedTuple):
+    """It is time to check whether a leaving VM is idle."""
+
+    step: str
+
+
 class ViewChanged(NamedTuple):
     """A VM joined, left, died or came back in the membership view."""
 
--- a/burdockhitch/standins/run.py
+++ b/burdockhitch/standins/run.py
@@ -14,7 +14,7 @@
     from twisted.internet import reactor
 
     loop: Any = reactor
-    listen(loop, address, Site(PlatformStandin(loop).app.resource()))
+    listen(loop, address, Site(PlatformStandin(loop).app.resource()), [])
     loop.run()
 
 
@@ -25,5 +25,5 @@
     loop: Any = reactor
     for number, address in enumerate(addresses):
         standin = ServerStandin(loop, n_slots, address, seed + number)
-        listen(loop, address, Site(standin.app.resource()))
+        listen(loop, address, Site(standin.app.resource()), [])
     loop.run()
--- a/burdockhitch/systems/answers.py
+++ b/burdockhitch/systems/answers.py
@@ -47,8 +47,9 @@
     return attempt, row
 
 
-def _retry(world: World, row: RequestRow, now: Instant) -> None:
+def _retry(world: World, row: RequestRow, not_run: bool, now: Instant) -> None:
     spend_retry(world, row)
+    row = row._replace(may_have_run=row.may_have_run or not not_run)
     has_server = any(
         slot.server_id not in row.tried
         for slot in world.slots.select("service", row.service)
@@ -82,7 +83,7 @@
     world: World, row: RequestRow, answer: Answer, is_error: bool, now: Instant
 ) -> None:
     if is_error and row.is_idempotent and _can_retry(world, row, now):
-        _retry(world, row, now)
+        _retry(world, row, False, now)
         return
     if not is_error:
         earn_retry(world, row.service)
@@ -108,7 +109,7 @@
 ) -> None:
     not_run = failure in NOT_RUN_FAILURES
     if (not_run or row.is_idempotent) and _can_retry(world, row, now):
-        _retry(world, row, now)
+        _retry(world, row, not_run, now)
     elif not_run:
         detail = f"the backend server did not take the request: {failure.value}"
         refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
--- a/burdockhitch/systems/draining.py
+++ b/burdockhitch/systems/draining.py
@@ -19,6 +19,14 @@
 )
 
 STOP_CHECK_PERIOD_S = 0.1
+CLOSE_GRACE_S = 0.3
+CLOSE_STEP = "close"
+EXIT_STEP = "exit"
+
+
+def is_leaving(world: World) -> bool:
+    """Return whether this VM has said that it is leaving."""
+    return world.vms.fetch(world.local.vm_id).status is VmStatus.LEAVING
 
 
 @system(Phase.DRAINING)
@@ -26,9 +34,9 @@
     """Say that this VM is leaving, once."""
     if not take_events(world, events.StopRequested):
         return
-    own = world.vms.fetch(world.local.vm_id)
-    if own.status is VmStatus.LEAVING:
+    if is_leaving(world):
         return
+    own = world.vms.fetch(world.local.vm_id)
     own = own._replace(
         status=VmStatus.LEAVING,
         refutation=own.refutation + 1,
@@ -42,15 +50,26 @@
     for peer in other_vms(world):
         send(world, commands.SendMessage(peer.vm_id, peer.message_address, message))
     due_s = now.monotonic_s + world.settings.callers.keep_s
-    start_timer(world, TimerKind.STOP, "", due_s)
+    start_timer(world, TimerKind.STOP, CLOSE_STEP, due_s)
 
 
 @timer_handlers(TimerKind.STOP)
-def stop_when_idle(world: World, _subject: str, now: Instant) -> None:
-    """End the process once no request is in progress."""
-    if len(world.requests):
-        due_s = now.monotonic_s + STOP_CHECK_PERIOD_S
-        start_timer(world, TimerKind.STOP, "", due_s)
-        return
-    log_event(world, "INFO", "vm_left", vm=world.local.vm_id)
-    send(world, commands.StopProcess())
+def check_idle(world: World, step: str, now: Instant) -> None:
+    """Ask for the check at the end of this tick, when arrivals are accepted."""
+    post_event(world, events.StopDue(step))
+
+
+@system(Phase.DRAINING)
+def stop_when_idle(world: World, now: Instant) -> None:
+    """Close the listeners, then end the process, each once all work is done."""
+    for event in take_events(world, events.StopDue):
+        if len(world.requests):
+            due_s = now.monotonic_s + STOP_CHECK_PERIOD_S
+            start_timer(world, TimerKind.STOP, event.step, due_s)
+        elif event.step == CLOSE_STEP:
+            send(world, commands.CloseListeners())
+            due_s = now.monotonic_s + CLOSE_GRACE_S
+            start_timer(world, TimerKind.STOP, EXIT_STEP, due_s)
+        else:
+            log_event(world, "INFO", "vm_left", vm=world.local.vm_id)
+            send(world, commands.StopProcess())
--- a/burdockhitch/systems/endings.py
+++ b/burdockhitch/systems/endings.py
@@ -5,7 +5,7 @@
 
 from burdockhitch import commands
 from burdockhitch.clock import Instant
-from burdockhitch.errors import RequestRefusedError, error_name
+from burdockhitch.errors import AnswerLostError, RequestRefusedError, error_name
 from burdockhitch.lifecycles.request import REQUEST_LIFE_CYCLE
 from burdockhitch.messages import Answer, CancelRequest, ForwardAnswer, Refusal
 from burdockhitch.registry import Registry
@@ -70,7 +70,15 @@
 def refuse_request(
     world: World, row: RequestRow, refusal: Refusal, now: Instant
 ) -> None:
-    """End a request that was not run."""
+    """End a request that was not run.
+
+    An earlier try of an idempotent request may have run; then the outcome is
+    unknown whatever the last try says.
+    """
+    if row.may_have_run:
+        detail = f"an earlier try may have run; the last one: {refusal.detail}"
+        lose_request(world, row, make_refusal(AnswerLostError, detail), now)
+        return
     _end(world, row, "refuse", now, refusal=refusal)
 
 
@@ -130,11 +138,22 @@
         )
 
 
-def _reply_to_vm(world: World, row: RequestRow, ending: Ending, now: Instant) -> None:
-    expires_at_s = now.monotonic_s + ENDED_KEEP_S
-    ended = EndedRow(row.reply_id, ending.answer, ending.refusal, expires_at_s)
+def keep_ended(
+    world: World,
+    request_id: str,
+    answer: Answer | None,
+    refusal: Refusal | None,
+    now: Instant,
+) -> EndedRow:
+    """Remember how a request of another VM ended, for repeated messages."""
+    ended = EndedRow(request_id, answer, refusal, now.monotonic_s + ENDED_KEEP_S)
     world.ended.put(ended)
     plan_expiry(world, ENDED)
+    return ended
+
+
+def _reply_to_vm(world: World, row: RequestRow, ending: Ending, now: Instant) -> None:
+    ended = keep_ended(world, row.reply_id, ending.answer, ending.refusal, now)
     if ending.state is not RequestState.CALLER_GONE:
         send_ended(world, row.origin_vm_id, row.service, ended)
 
--- a/burdockhitch/systems/forwards.py
+++ b/burdockhitch/systems/forwards.py
@@ -15,15 +15,17 @@
     abandon_request,
     advance,
     answer_request,
+    keep_ended,
     lose_request,
     make_refusal,
     refuse_request,
     send_ended,
 )
+from burdockhitch.systems.expiry import is_forgotten
 from burdockhitch.systems.retries import may_retry, spend_retry
 from burdockhitch.systems.routing import RESEND_S, send_forward
 from burdockhitch.systems.timing import message_handlers, timer_handlers
-from burdockhitch.tables.requests import EndedRow, RequestRow, RequestState
+from burdockhitch.tables.requests import RequestRow, RequestState
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import World, count, send_message, start_timer
 
@@ -43,9 +45,10 @@
     message: ForwardRequest,
     error: type[RequestRefusedError],
     detail: str,
+    now: Instant,
 ) -> None:
     refusal = make_refusal(error, detail)
-    ended = EndedRow(message.request_id, None, refusal, 0.0)
+    ended = keep_ended(world, message.request_id, None, refusal, now)
     send_ended(world, sender, message.service, ended)
 
 
@@ -62,6 +65,9 @@
         count(world, "forwards_repeated")
         send_ended(world, sender, message.service, ended)
         return
+    if is_forgotten(world, message.request_id):
+        count(world, "messages_dropped", "reason", "forgotten")
+        return
     if _local_id(message) in world.requests:
         count(world, "forwards_repeated")
         return
@@ -74,12 +80,12 @@
     route = world.routes.get(message.route_id)
     if route is None:
         detail = f"{world.local.vm_id} has no route {message.route_id}"
-        _refuse_forward(world, sender, message, NotReadyError, detail)
+        _refuse_forward(world, sender, message, NotReadyError, detail, now)
         return
     remaining_s = message.remaining_s - DEADLINE_MARGIN_S
     if remaining_s <= 0:
         detail = "no time is left"
-        _refuse_forward(world, sender, message, DeadlineTooShortError, detail)
+        _refuse_forward(world, sender, message, DeadlineTooShortError, detail, now)
         return
     state = RequestState.ACCEPTED if message.is_for_home else RequestState.ADMITTED
     row = RequestRow(
@@ -137,18 +143,27 @@
     is_forwarded = row.state is RequestState.FORWARDED
     can_repeat = is_forwarded and (not_run or row.is_idempotent)
     if can_repeat and may_retry(world, row, now):
-        retry_elsewhere(world, row, now)
+        retry_elsewhere(world, row, not_run, now)
     elif not_run:
         refuse_request(world, row, refusal, now)
     else:
         lose_request(world, row, refusal, now)
 
 
-def retry_elsewhere(world: World, row: RequestRow, now: Instant) -> None:
-    """Route a forwarded request to another owner."""
+def retry_elsewhere(world: World, row: RequestRow, not_run: bool, now: Instant) -> None:
+    """Route a forwarded request to another owner.
+
+    Args:
+        world: Tables of this VM.
+        row: The request.
+        not_run: Whether the owner said that it was not run.
+        now: Time of the tick.
+    """
     spend_retry(world, row)
     release_forward(world, row)
-    advance(world, row._replace(owner_vm_id=""), "retry", now)
+    may_have_run = row.may_have_run or not not_run
+    row = row._replace(owner_vm_id="", may_have_run=may_have_run)
+    advance(world, row, "retry", now)
 
 
 @message_handlers("cancel_request")
@@ -170,7 +185,7 @@
         return
     if row.is_idempotent and may_retry(world, row, now):
         send_message(world, row.owner_vm_id, CancelRequest(row.request_id))
-        retry_elsewhere(world, row, now)
+        retry_elsewhere(world, row, False, now)
         return
     count(world, "forwards_resent")
     send_forward(world, row, now)
@@ -184,7 +199,7 @@
             continue
         is_forwarded = row.state is RequestState.FORWARDED
         if is_forwarded and row.is_idempotent and may_retry(world, row, now):
-            retry_elsewhere(world, row, now)
+            retry_elsewhere(world, row, False, now)
             continue
         error = AnswerLostError if is_forwarded else HomeGoneError
         detail = f"VM {vm_id} died while it had the request"
--- a/burdockhitch/tables/requests.py
+++ b/burdockhitch/tables/requests.py
@@ -48,6 +48,7 @@
         attempt_id: Attempt in progress, 0 when there is none.
         reply_id: Identity of the request at the VM that sent it.
         is_routable: Whether it may be forwarded from here.
+        may_have_run: Whether an earlier try may have run.
         claim_version: Version of its claim in the platform, 0 for none.
     """
 
@@ -72,6 +73,7 @@
     attempt_id: int = 0
     reply_id: str = ""
     is_routable: bool = True
+    may_have_run: bool = False
     claim_version: int = 0
 
 
@@ -109,6 +111,18 @@
     expires_at_s: float
 
 
+class WatermarkRow(NamedTuple):
+    """How far the ended requests of another incarnation are forgotten.
+
+    Attributes:
+        sender: ``vm_id:incarnation`` of the VM that accepted the requests.
+        sequence: Highest sequence number that was forgotten.
+    """
+
+    sender: str
+    sequence: int
+
+
 class HomeRow(NamedTuple):
     """What became of an idempotency key whose home is this VM.
 
@@ -188,6 +202,11 @@
     return Table(EndedRow, key="request_id", orders=("expires_at_s",))
 
 
+def make_watermarks() -> Table[WatermarkRow]:
+    """Return an empty table of watermarks."""
+    return Table(WatermarkRow, key="sender")
+
+
 def make_home_records() -> Table[HomeRow]:
     """Return an empty table of home records."""
     return Table(HomeRow, key="record_id", orders=("expires_at_s",))
--- /dev/null
+++ b/burdockhitch/tests/fakes.py
@@ -0,0 +1,441 @@
+"""Small fakes at the interfaces: clock, messages, platform, servers, callers."""
+
+import heapq
+import random
+from datetime import UTC, datetime, timedelta
+from itertools import count
+from typing import Any, NamedTuple
+
+import msgspec
+
+import burdockhitch.systems  # noqa: F401
+from burdockhitch import events
+from burdockhitch.adapters.codec import decode_message, encode_message
+from burdockhitch.clock import Instant
+from burdockhitch.errors import (
+    PlatformConflictError,
+    PlatformNotFoundError,
+    PlatformUnavailableError,
+)
+from burdockhitch.events import AttemptFailure
+from burdockhitch.messages import Answer, RequestMessage
+from burdockhitch.registry import Registry
+from burdockhitch.rules.document import hash_rules
+from burdockhitch.settings import PlatformSettings, Settings, VmSettings
+from burdockhitch.standins.platform import Store, StoredRow
+from burdockhitch.systems.configuration import start_configuration
+from burdockhitch.systems.membership import start_membership
+from burdockhitch.systems.phases import run_tick
+from burdockhitch.tables.vms import VmStatus
+from burdockhitch.world import World, make_world, post_event
+
+START_UTC = datetime(2026, 5, 4, 12, 0, tzinfo=UTC)
+FLEET_NAME = "test"
+MESSAGE_DELAY_S = 0.001
+CONNECT_DELAY_S = 0.001
+SERVICE_TIME_S = 0.02
+MESSAGE_MAX_BYTES = 1 << 20
+
+fakes: Registry[Any] = Registry("fake of an adapter")
+
+
+class FakeClock:
+    """A clock that tests set."""
+
+    def __init__(self, start_utc: datetime = START_UTC) -> None:
+        self.elapsed_s = 0.0
+        self._start_utc = start_utc
+
+    def now(self) -> Instant:
+        """Return the time that the test has reached."""
+        utc = self._start_utc + timedelta(seconds=self.elapsed_s)
+        return Instant(1000.0 + self.elapsed_s, utc)
+
+
+class Run(NamedTuple):
+    """A request that a fake server ran."""
+
+    request_id: str
+    address: str
+    body: bytes
+
+
+class Reply(NamedTuple):
+    """What a caller got."""
+
+    at_s: float
+    command: Any
+
+
+class FakeServer:
+    """A backend server; ``mode`` names a registered way to answer."""
+
+    def __init__(self, address: str, n_slots: int) -> None:
+        self.address = address
+        self.n_slots = n_slots
+        self.mode = "ok"
+        self.service_time_s = SERVICE_TIME_S
+        self.running: dict[tuple[str, int, int], None] = {}
+
+
+class FakeFleet:
+    """Several worlds, wired by fakes, on one fake clock."""
+
+    def __init__(self, seed: int = 1, start_utc: datetime = START_UTC) -> None:
+        self.clock = FakeClock(start_utc)
+        self.rng = random.Random(seed)
+        self.worlds: dict[str, World] = {}
+        self.servers: dict[str, FakeServer] = {}
+        self.store = Store()
+        self.is_platform_down = False
+        self.n_lost_replies = 0
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss_ratio = 0.0
+        self.repeat_ratio = 0.0
+        self.paused: set[str] = set()
+        self.closed: set[str] = set()
+        self.runs: list[Run] = []
+        self.replies: dict[int, Reply] = {}
+        self.sent: dict[int, tuple[str, Any]] = {}
+        self.logs: list[tuple[str, Any]] = []
+        self.trace: list[str] = []
+        self.overruns: list[tuple[str, str]] = []
+        self.is_traced = False
+        self._queue: list[tuple[float, int, Any]] = []
+        self._numbers = count(1)
+        self._addresses: dict[str, str] = {}
+
+    def add_vm(self, vm_id: str, zone: str, **sections: Any) -> World:
+        """Start an entry VM; one of the same name is replaced."""
+        number = len(self._addresses) + 1
+        message_address = f"10.0.0.{number}:7000"
+        settings = Settings(
+            vm=VmSettings(
+                vm_id,
+                zone,
+                f"10.0.0.{number}:80",
+                message_address,
+                f"10.0.0.{number}:9000",
+            ),
+            platform=PlatformSettings("10.9.9.9:80"),
+        )._replace(**sections)
+        seeds = tuple(self._addresses)[:3]
+        membership = settings.membership._replace(seeds=seeds)
+        settings = settings._replace(membership=membership)
+        self._addresses[message_address] = vm_id
+        world = make_world(settings, self.clock, random.Random(self.rng.random()))
+        self.worlds[vm_id] = world
+        self.paused.discard(vm_id)
+        self.closed.discard(vm_id)
+        now = self.clock.now()
+        start_membership(world, now)
+        start_configuration(world, now)
+        self._tick(vm_id)
+        return world
+
+    def kill(self, vm_id: str) -> None:
+        """End a VM at once."""
+        del self.worlds[vm_id]
+
+    def add_server(self, address: str, n_slots: int) -> FakeServer:
+        """Add a backend server."""
+        self.servers[address] = FakeServer(address, n_slots)
+        return self.servers[address]
+
+    def commit_rules(self, text: str) -> int:
+        """Store a revision as operators do."""
+        body = text.encode()
+        head = self.store.rows.get(("revisions", "head"))
+        number = head.value["number"] + 1 if head else 1
+        self.store.objects[hash_rules(body)] = body
+        value = {"number": number, "body_hash": hash_rules(body)}
+        self.store.rows["revisions", "head"] = StoredRow(number, value)
+        return number
+
+    def call(
+        self,
+        vm_id: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        key: str = "",
+        account: str = "school",
+    ) -> int:
+        """Send a request as a caller and return its connection number."""
+        number = next(self._numbers)
+        request = RequestMessage(method, path, (), body, account)
+        if vm_id in self.closed:
+            return number
+        self.sent[number] = (vm_id, request)
+        if vm_id in self.worlds:
+            self.post(vm_id, events.CallerRequestArrived(number, request, key, 0.0))
+        return number
+
+    def ask_addresses(self, vm_id: str, service: str, zone: str = "") -> int:
+        """Ask a VM for addresses and return the connection number."""
+        number = next(self._numbers)
+        self.post(vm_id, events.AddressesAsked(number, service, "school", zone))
+        return number
+
+    def token(self, vm_id: str) -> str:
+        """Return the home token that an address answer would carry."""
+        world = self.worlds[vm_id]
+        issued_s = int(self.clock.now().utc.timestamp())
+        return f"{world.local.home_token()}.{issued_s}"
+
+    def post(self, vm_id: str, event: Any, delay_s: float = 0.0) -> None:
+        """Hand an event to a VM after a delay."""
+        self._later(delay_s, lambda: self._arrive(vm_id, event))
+
+    def post_to(self, world: World | None, event: Any, delay_s: float) -> None:
+        """Hand an event to one incarnation of a VM, if it still runs."""
+
+        def arrive() -> None:
+            if world is not None and self.worlds.get(world.local.vm_id) is world:
+                self._arrive(world.local.vm_id, event)
+
+        self._later(delay_s, arrive)
+
+    def run(self, duration_s: float) -> None:
+        """Let time pass."""
+        end_s = self.clock.elapsed_s + duration_s
+        while True:
+            due_s, vm_id = self._next_due()
+            if due_s > end_s:
+                break
+            self.clock.elapsed_s = max(self.clock.elapsed_s, due_s)
+            if vm_id:
+                self._tick(vm_id)
+            else:
+                heapq.heappop(self._queue)[2]()
+        self.clock.elapsed_s = end_s
+
+    def alive(self, vm_id: str) -> set[str]:
+        """Return the VMs that a VM holds to be alive."""
+        rows = self.worlds[vm_id].vms.select("status", VmStatus.ALIVE)
+        return {row.vm_id for row in rows}
+
+    def resume(self, vm_id: str) -> None:
+        """Let a paused VM go on."""
+        self.paused.discard(vm_id)
+        if vm_id in self.worlds:
+            self._tick(vm_id)
+
+    def _next_due(self) -> tuple[float, str]:
+        due_s, owner = (self._queue[0][0], "") if self._queue else (float("inf"), "")
+        for vm_id, world in self.worlds.items():
+            timer = world.timers.first("due_s")
+            if timer is None or vm_id in self.paused:
+                continue
+            timer_s = timer.due_s - 1000.0
+            if timer_s < due_s:
+                due_s, owner = timer_s, vm_id
+        return due_s, owner
+
+    def _later(self, delay_s: float, action: Any) -> None:
+        due_s = self.clock.elapsed_s + delay_s
+        heapq.heappush(self._queue, (due_s, next(self._numbers), action))
+
+    def _arrive(self, vm_id: str, event: Any) -> None:
+        world = self.worlds.get(vm_id)
+        if world is None:
+            return
+        self._note("<-", vm_id, event)
+        post_event(world, event)
+        if vm_id not in self.paused:
+            self._tick(vm_id)
+
+    def _tick(self, vm_id: str) -> None:
+        world = self.worlds[vm_id]
+        run_tick(world)
+        while len(world.outbox) or len(world.inbox):
+            for row in world.outbox:
+                world.outbox.remove(row.sequence)
+                self._note("->", vm_id, row.command)
+                fakes[row.kind](self, vm_id, row.command)
+            if len(world.inbox):
+                run_tick(world)
+
+    def _note(self, arrow: str, vm_id: str, item: Any) -> None:
+        if self.is_traced:
+            line = f"{self.clock.elapsed_s:8.3f} {vm_id} {arrow} {item!r}"
+            self.trace.append(line)
+
+    def reply_platform(self, vm_id: str, operation_id: str, ask: Any) -> None:
+        """Run a platform operation and hand over its reply."""
+        world = self.worlds.get(vm_id)
+
+        def arrive() -> None:
+            error, document = (PlatformUnavailableError, None)
+            if not self.is_platform_down:
+                error, document = ask()
+            event = events.PlatformReplied(operation_id, error, document)
+            self.post_to(world, event, MESSAGE_DELAY_S)
+
+        self._later(MESSAGE_DELAY_S, arrive)
+
+    def later(self, delay_s: float, action: Any) -> None:
+        """Run an action after a delay."""
+        self._later(delay_s, action)
+
+
+@fakes("SendMessage")
+def pass_message(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    receiver = fleet._addresses.get(command.message_address, "")
+    is_lost = fleet.loss_ratio and fleet.rng.random() < fleet.loss_ratio
+    if (vm_id, receiver) in fleet.cuts or is_lost:
+        return
+    frames = encode_message(FLEET_NAME, vm_id, command.message)
+    envelope = decode_message(FLEET_NAME, frames, MESSAGE_MAX_BYTES)
+    event = events.VmMessageArrived(*envelope)
+    fleet.post(receiver, event, MESSAGE_DELAY_S)
+    if fleet.repeat_ratio and fleet.rng.random() < fleet.repeat_ratio:
+        fleet.post(receiver, event, MESSAGE_DELAY_S * fleet.rng.randint(1, 500))
+
+
+@fakes("AnswerCaller")
+@fakes("RefuseCaller")
+@fakes("OfferAddresses")
+def keep_reply(fleet: FakeFleet, _vm_id: str, command: Any) -> None:
+    assert command.connection_id not in fleet.replies, "two replies"
+    fleet.replies[command.connection_id] = Reply(fleet.clock.elapsed_s, command)
+
+
+@fakes("LogEvent")
+def keep_log(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    fleet.logs.append((vm_id, command))
+
+
+@fakes("CloseListeners")
+def close_listeners(fleet: FakeFleet, vm_id: str, _command: Any) -> None:
+    fleet.closed.add(vm_id)
+
+
+@fakes("StopProcess")
+def stop_process(fleet: FakeFleet, vm_id: str, _command: Any) -> None:
+    fleet.later(0.0, lambda: fleet.worlds.pop(vm_id, None))
+
+
+@fakes("SendAttempt")
+def run_attempt(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    world = fleet.worlds[vm_id]
+    server = fleet.servers[command.address]
+    if server.mode == "dead" or (vm_id, command.address) in fleet.cuts:
+        lost = events.BackendFailed(command.attempt_id, AttemptFailure.NOT_SENT)
+        fleet.post_to(world, lost, CONNECT_DELAY_S)
+        return
+    if len(server.running) >= server.n_slots or server.mode == "shedding":
+        shed = events.BackendFailed(command.attempt_id, AttemptFailure.SHED)
+        fleet.post_to(world, shed, CONNECT_DELAY_S)
+        return
+    owner = (vm_id, world.local.incarnation)
+    if sum(1 for slot in server.running if slot[:2] == owner) >= server.n_slots:
+        fleet.overruns.append((vm_id, command.address))
+    slot = (*owner, command.attempt_id)
+    server.running[slot] = None
+    fleet.runs.append(Run(command.request_id, command.address, command.request.body))
+    delay_s = server.service_time_s
+    fleet.later(delay_s, lambda: _finish(fleet, world, server, slot, command))
+
+
+def _finish(
+    fleet: FakeFleet, world: World, server: FakeServer, slot: Any, command: Any
+) -> None:
+    if server.running.pop(slot, 0) == 0:
+        return
+    event = server_modes[server.mode](command)
+    if event is not None:
+        fleet.post_to(world, event, CONNECT_DELAY_S)
+
+
+server_modes: Registry[Any] = Registry("way of a fake server")
+
+
+@server_modes("ok")
+@server_modes("dead")
+@server_modes("shedding")
+def answer_well(command: Any) -> Any:
+    body = msgspec.json.encode([command.request.path, command.request.body.decode()])
+    return events.BackendAnswered(command.attempt_id, Answer(200, (), body))
+
+
+@server_modes("failing")
+def answer_error(command: Any) -> Any:
+    return events.BackendAnswered(command.attempt_id, Answer(500, (), b""))
+
+
+@server_modes("breaking")
+def break_off(command: Any) -> Any:
+    return events.BackendFailed(command.attempt_id, AttemptFailure.BROKEN)
+
+
+@server_modes("silent")
+def stay_silent(command: Any) -> Any:
+    return None
+
+
+@fakes("CancelAttempt")
+def cancel_attempt(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    slot = (vm_id, fleet.worlds[vm_id].local.incarnation, command.attempt_id)
+    for server in fleet.servers.values():
+        server.running.pop(slot, None)
+
+
+@fakes("ProbeServer")
+def probe_server(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    is_ok = fleet.servers[command.address].mode != "dead"
+    event = events.ServerProbed(command.server_id, is_ok)
+    fleet.post(vm_id, event, CONNECT_DELAY_S)
+
+
+@fakes("ReadRow")
+def read_row(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    def ask() -> Any:
+        row = fleet.store.read_row(command.table, command.key)
+        if row is None:
+            return PlatformNotFoundError, None
+        return None, msgspec.json.decode(msgspec.json.encode(row._asdict()))
+
+    fleet.reply_platform(vm_id, command.operation_id, ask)
+
+
+@fakes("RunTransaction")
+def run_transaction(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    def ask() -> Any:
+        conditions = [row._asdict() for row in command.conditions]
+        writes = [row._asdict() for row in command.writes]
+        if not fleet.store.run_transaction(conditions, writes):
+            return PlatformConflictError, None
+        if fleet.n_lost_replies > 0:
+            fleet.n_lost_replies -= 1
+            return PlatformUnavailableError, None
+        return None, {}
+
+    fleet.reply_platform(vm_id, command.operation_id, ask)
+
+
+@fakes("ReadObject")
+def read_object(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    def ask() -> Any:
+        body = fleet.store.objects.get(command.name)
+        return (PlatformNotFoundError, None) if body is None else (None, body)
+
+    fleet.reply_platform(vm_id, command.operation_id, ask)
+
+
+@fakes("WriteObject")
+def write_object(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    def ask() -> Any:
+        fleet.store.objects[command.name] = command.body
+        return None, b""
+
+    fleet.reply_platform(vm_id, command.operation_id, ask)
+
+
+@fakes("ListVms")
+def list_vms(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    def ask() -> Any:
+        fleet.store.n_reads += 1
+        return None, {"vms": fleet.store.vms}
+
+    fleet.reply_platform(vm_id, command.operation_id, ask)
--- /dev/null
+++ b/burdockhitch/tests/fleets.py
@@ -0,0 +1,128 @@
+"""Fleets that many tests start from."""
+
+from typing import Any, NamedTuple
+
+from burdockhitch.problems import is_not_run
+from burdockhitch.tables.health_signals import ServerState
+from burdockhitch.tests.fakes import FakeFleet
+
+SETTLE_S = 3.0
+
+
+class Deployment(NamedTuple):
+    """A deployment in small.
+
+    Attributes:
+        service: Name of its service.
+        zones: Availability zones.
+        n_vms: Entry VMs in each zone.
+        n_servers: Backend servers in each zone.
+        n_slots: Slots of each server.
+        floor_slots: Floor of the service.
+        profile: Health profile.
+    """
+
+    service: str
+    zones: tuple[str, ...]
+    n_vms: int
+    n_servers: int
+    n_slots: int
+    floor_slots: int
+    profile: str
+
+
+VASTKUST = Deployment(
+    "booking", ("vk-a", "vk-b", "vk-c"), 1, 2, 4, 12, "detection_first"
+)
+SUDURLAND = Deployment(
+    "bench", ("sl-a", "sl-b", "sl-c", "sl-d"), 1, 2, 2, 10, "few_false_ejections"
+)
+
+
+def write_rules(deployment: Deployment, floor_slots: int = 0, extra: str = "") -> str:
+    """Return the rules of a deployment."""
+    service = deployment.service
+    floor = floor_slots or deployment.floor_slots
+    lines = [
+        f"service {service} floor={floor}slots health={deployment.profile} # Karin",
+        f"route {service} GET /look timeout=2s # Karin",
+        f"route {service} POST /plain timeout=2s # Jonas",
+        f"route {service} POST /home once=home timeout=2s # Jonas",
+        f"route {service} POST /claim once=claim timeout=2s # Jonas",
+    ]
+    for address, zone in server_addresses(deployment):
+        line = (
+            f"server {service} {address} zone={zone} slots={deployment.n_slots} # Eva"
+        )
+        lines.append(line)
+    return "\n".join(lines) + "\n" + extra
+
+
+def server_addresses(deployment: Deployment) -> list[tuple[str, str]]:
+    """Return the address and zone of every backend server."""
+    return [
+        (f"10.1.{zone_number}.{number + 1}:80", zone)
+        for zone_number, zone in enumerate(deployment.zones)
+        for number in range(deployment.n_servers)
+    ]
+
+
+def start_fleet(
+    deployment: Deployment, seed: int = 1, extra: str = "", **sections: Any
+) -> FakeFleet:
+    """Return a fleet whose VMs know each other and the rules."""
+    fleet = FakeFleet(seed)
+    for address, _zone in server_addresses(deployment):
+        fleet.add_server(address, deployment.n_slots)
+    fleet.commit_rules(write_rules(deployment, extra=extra))
+    for number in range(deployment.n_vms):
+        for zone in deployment.zones:
+            fleet.add_vm(f"{zone}-{number}", zone, **sections)
+    fleet.run(SETTLE_S)
+    return fleet
+
+
+def count_doubled(fleet: FakeFleet) -> int:
+    """Return how many non-idempotent bodies ran more than once."""
+    bodies = [run.body for run in fleet.runs if run.body]
+    return len(bodies) - len(set(bodies))
+
+
+def count_false_refusals(fleet: FakeFleet) -> int:
+    """Return how many requests ran although they were answered as not run."""
+    ran = {run.request_id.partition("@")[0] for run in fleet.runs}
+    return sum(
+        1
+        for reply in fleet.replies.values()
+        if hasattr(reply.command, "refusal")
+        and is_not_run(reply.command.refusal.error)
+        and reply.command.request_id in ran
+    )
+
+
+def count_mixed(fleet: FakeFleet) -> int:
+    """Return how many callers got something else than their own whole answer."""
+    n_mixed = 0
+    for number, reply in fleet.replies.items():
+        answer = getattr(reply.command, "answer", None)
+        if answer is None or answer.status != 200 or number not in fleet.sent:
+            continue
+        request = fleet.sent[number][1]
+        own = f'["{request.path}","{request.body.decode()}"]'.encode()
+        n_mixed += answer.body != own
+    return n_mixed
+
+
+def ejected_slots(fleet: FakeFleet, service: str) -> int:
+    """Return the slots that any VM keeps out of service."""
+    ejected = set()
+    for world in fleet.worlds.values():
+        for row in world.health_signals.select("state", ServerState.EJECTED):
+            if row.service == service:
+                ejected.add(row.server_id)
+    return sum(fleet.servers[name.split("/")[1]].n_slots for name in ejected)
+
+
+def total_slots(fleet: FakeFleet) -> int:
+    """Return the slots of all backend servers."""
+    return sum(server.n_slots for server in fleet.servers.values())
--- /dev/null
+++ b/burdockhitch/tests/steps.py
@@ -0,0 +1,265 @@
+"""Random sequences of work and faults, and the promises held against them."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from burdockhitch import events
+from burdockhitch.registry import Registry
+from burdockhitch.tests import fleets
+from burdockhitch.tests.fleets import Deployment
+from burdockhitch.world import current_revision
+
+HEAL_S = 30.0
+MODES = ("ok", "failing", "breaking", "silent", "dead", "shedding")
+
+
+class Step(NamedTuple):
+    """One step: a registered kind and two numbers that it interprets."""
+
+    kind: str
+    first: int
+    second: int
+
+
+class Sequence:
+    """A fleet and what the sequence has done to it so far.
+
+    Args:
+        deployment: Deployment to start.
+        seed: Seed of the fleet.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.fleet = fleets.start_fleet(deployment, seed)
+        self.zones = {
+            vm_id: world.local.zone for vm_id, world in self.fleet.worlds.items()
+        }
+        self.keys: list[tuple[str, bytes, str]] = []
+        self.unanswerable: set[int] = set()
+        self.leaving: set[str] = set()
+        self.revisions: dict[tuple[str, int], int] = {}
+        self.violations: list[str] = []
+
+    def vm(self, number: int) -> str:
+        """Return the name of a running VM."""
+        names = sorted(self.fleet.worlds)
+        return names[number % len(names)]
+
+    def check(self) -> None:
+        """Note every promise that does not hold now."""
+        fleet = self.fleet
+        service = self.deployment.service
+        n_left = fleets.total_slots(fleet) - fleets.ejected_slots(fleet, service)
+        if n_left < self.deployment.floor_slots:
+            self.violations.append(f"floor: {n_left} slots left")
+        for vm_id, world in fleet.worlds.items():
+            name = (vm_id, world.local.incarnation)
+            number = current_revision(world)
+            if number < self.revisions.get(name, 0):
+                self.violations.append(f"revision went back on {vm_id}")
+            self.revisions[name] = number
+
+    def finish(self) -> list[str]:
+        """Heal all faults, let time pass and return every violation."""
+        fleet = self.fleet
+        fleet.cuts.clear()
+        fleet.loss_ratio = fleet.repeat_ratio = 0.0
+        fleet.is_platform_down = False
+        fleet.n_lost_replies = 0
+        for server in fleet.servers.values():
+            server.mode = "ok"
+        for vm_id in list(fleet.paused):
+            fleet.resume(vm_id)
+        fleet.run(HEAL_S)
+        self.check()
+        self._check_ends()
+        return self.violations
+
+    def _check_ends(self) -> None:
+        fleet = self.fleet
+        counts = {
+            "doubled": fleets.count_doubled(fleet),
+            "ran though refused as not run": fleets.count_false_refusals(fleet),
+            "mixed answers": fleets.count_mixed(fleet),
+            "slots overrun by one owner": len(fleet.overruns),
+            "unanswered": len(
+                fleet.sent.keys() - fleet.replies.keys() - self.unanswerable
+            ),
+        }
+        for vm_id, world in fleet.worlds.items():
+            counts[f"requests left on {vm_id}"] = len(world.requests)
+            counts[f"attempts left on {vm_id}"] = len(world.attempts)
+        names = [f"{what}: {n}" for what, n in counts.items() if n]
+        self.violations += names
+
+
+StepFunction = Callable[[Sequence, int, int], None]
+step_kinds: Registry[StepFunction] = Registry("kind of step")
+
+
+@step_kinds("wait")
+def wait(sequence: Sequence, first: int, second: int) -> None:
+    sequence.fleet.run((0.005, 0.05, 0.5, 3.0)[first % 4])
+
+
+@step_kinds("look")
+def look(sequence: Sequence, first: int, second: int) -> None:
+    for _ in range(1 + second % 4):
+        sequence.fleet.call(sequence.vm(first), "GET", "/look")
+
+
+@step_kinds("plain")
+def plain(sequence: Sequence, first: int, second: int) -> None:
+    body = f"p{len(sequence.fleet.sent)}".encode()
+    sequence.fleet.call(sequence.vm(first), "POST", "/plain", body)
+
+
+@step_kinds("home")
+def home(sequence: Sequence, first: int, second: int) -> None:
+    body = f"h{len(sequence.fleet.sent)}".encode()
+    key = f"{sequence.fleet.token(sequence.vm(second))}/{body.decode()}"
+    sequence.keys.append(("/home", body, key))
+    sequence.fleet.call(sequence.vm(first), "POST", "/home", body, key)
+
+
+@step_kinds("claim")
+def claim(sequence: Sequence, first: int, second: int) -> None:
+    body = f"c{len(sequence.fleet.sent)}".encode()
+    sequence.keys.append(("/claim", body, body.decode()))
+    sequence.fleet.call(sequence.vm(first), "POST", "/claim", body, body.decode())
+
+
+@step_kinds("repeat")
+def repeat(sequence: Sequence, first: int, second: int) -> None:
+    if sequence.keys:
+        path, body, key = sequence.keys[-1 - second % min(4, len(sequence.keys))]
+        sequence.fleet.call(sequence.vm(first), "POST", path, body, key)
+
+
+@step_kinds("hang_up")
+def hang_up(sequence: Sequence, first: int, second: int) -> None:
+    fleet = sequence.fleet
+    waiting = sorted(fleet.sent.keys() - fleet.replies.keys())
+    if waiting:
+        number = waiting[first % len(waiting)]
+        sequence.unanswerable.add(number)
+        fleet.post(fleet.sent[number][0], events.CallerGone(number))
+
+
+@step_kinds("pause")
+def pause(sequence: Sequence, first: int, second: int) -> None:
+    fleet = sequence.fleet
+    if len(fleet.worlds) - len(fleet.paused) > 1:
+        fleet.paused.add(sequence.vm(first))
+
+
+@step_kinds("resume")
+def resume(sequence: Sequence, first: int, second: int) -> None:
+    for vm_id in sorted(sequence.fleet.paused):
+        sequence.fleet.resume(vm_id)
+
+
+def _give_up_callers(sequence: Sequence, vm_id: str) -> None:
+    fleet = sequence.fleet
+    sequence.unanswerable |= {
+        number
+        for number, (name, _request) in fleet.sent.items()
+        if name == vm_id and number not in fleet.replies
+    }
+
+
+@step_kinds("kill")
+def kill(sequence: Sequence, first: int, second: int) -> None:
+    staying = sequence.zones.keys() - sequence.leaving
+    if len(staying & sequence.fleet.worlds.keys()) > 2:
+        vm_id = sequence.vm(first)
+        _give_up_callers(sequence, vm_id)
+        sequence.fleet.kill(vm_id)
+        sequence.fleet.paused.discard(vm_id)
+
+
+@step_kinds("restart")
+def restart(sequence: Sequence, first: int, second: int) -> None:
+    gone = sorted(sequence.zones.keys() - sequence.fleet.worlds.keys())
+    if gone:
+        vm_id = gone[first % len(gone)]
+        sequence.fleet.run(0.001)
+        sequence.leaving.discard(vm_id)
+        sequence.fleet.add_vm(vm_id, sequence.zones[vm_id])
+
+
+@step_kinds("leave")
+def leave(sequence: Sequence, first: int, second: int) -> None:
+    staying = sequence.zones.keys() - sequence.leaving
+    if len(staying & sequence.fleet.worlds.keys()) > 2:
+        vm_id = sequence.vm(first)
+        sequence.leaving.add(vm_id)
+        sequence.fleet.post(vm_id, events.StopRequested())
+
+
+@step_kinds("cut")
+def cut(sequence: Sequence, first: int, second: int) -> None:
+    sequence.fleet.cuts.add((sequence.vm(first), sequence.vm(second)))
+
+
+@step_kinds("cut_server")
+def cut_server(sequence: Sequence, first: int, second: int) -> None:
+    addresses = sorted(sequence.fleet.servers)
+    address = addresses[second % len(addresses)]
+    sequence.fleet.cuts.add((sequence.vm(first), address))
+
+
+@step_kinds("heal")
+def heal(sequence: Sequence, first: int, second: int) -> None:
+    sequence.fleet.cuts.clear()
+
+
+@step_kinds("platform")
+def platform(sequence: Sequence, first: int, second: int) -> None:
+    sequence.fleet.is_platform_down = first % 2 == 0
+
+
+@step_kinds("lose_reply")
+def lose_reply(sequence: Sequence, first: int, second: int) -> None:
+    sequence.fleet.n_lost_replies = 1 + first % 2
+
+
+@step_kinds("messages")
+def disturb_messages(sequence: Sequence, first: int, second: int) -> None:
+    sequence.fleet.loss_ratio = (0.0, 0.1, 0.3)[first % 3]
+    sequence.fleet.repeat_ratio = (0.0, 0.3)[second % 2]
+
+
+@step_kinds("server")
+def change_server(sequence: Sequence, first: int, second: int) -> None:
+    addresses = sorted(sequence.fleet.servers)
+    server = sequence.fleet.servers[addresses[first % len(addresses)]]
+    server.mode = MODES[second % len(MODES)]
+
+
+@step_kinds("revision")
+def revise(sequence: Sequence, first: int, second: int) -> None:
+    extra = f"limit visitor{first % 5} rate=5/s burst=9 # Karin\n"
+    rules = fleets.write_rules(sequence.deployment, extra=extra)
+    sequence.fleet.commit_rules(rules)
+
+
+def run_sequence(deployment: Deployment, seed: int, steps: list[Step]) -> list[str]:
+    """Run steps on a fresh fleet and return every violation."""
+    sequence = Sequence(deployment, seed)
+    for step in steps:
+        step_kinds[step.kind](sequence, step.first, step.second)
+        sequence.check()
+    return sequence.finish()
+
+
+def draw_steps(rng: random.Random, n_steps: int) -> list[Step]:
+    """Return random steps, half of them work and waiting."""
+    work = ("wait", "look", "plain", "home", "claim", "repeat")
+    steps = []
+    for _ in range(n_steps):
+        kinds = work if rng.random() < 0.6 else step_kinds.names()
+        steps.append(Step(rng.choice(kinds), rng.randrange(12), rng.randrange(12)))
+    return steps
--- /dev/null
+++ b/burdockhitch/tests/test_sequences.py
@@ -0,0 +1,48 @@
+"""Random sequences of work and faults; see ``tools/sequences.py`` for more."""
+
+import random
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from burdockhitch.tests.fleets import SUDURLAND, VASTKUST, Deployment
+from burdockhitch.tests.steps import Step, draw_steps, run_sequence, step_kinds
+
+N_STEPS = 40
+DEPLOYMENTS = (VASTKUST, SUDURLAND)
+
+steps = st.builds(
+    Step,
+    st.sampled_from(step_kinds.names()),
+    st.integers(0, 11),
+    st.integers(0, 11),
+)
+
+
+@pytest.mark.parametrize(
+    ("fault", "seed"),
+    [
+        pytest.param("a later try said not run after an earlier one ran", 13),
+        pytest.param("a repeated message ran after its refusal", 3025),
+        pytest.param("a stop cut off requests of the same tick", 99),
+        pytest.param("a held-up message ran after it was forgotten", 349),
+        pytest.param("an idempotent request was refused after it ran", 1331),
+    ],
+)
+def test_found_faults_stay_mended(fault, seed):
+    drawn = draw_steps(random.Random(seed), N_STEPS)
+    assert run_sequence(DEPLOYMENTS[seed % 2], seed, drawn) == []
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS, ids=["vastkust", "sudurland"])
+@settings(
+    max_examples=150,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(drawn=st.lists(steps, min_size=5, max_size=40), seed=st.integers(0, 1 << 16))
+def test_promises_hold(deployment: Deployment, drawn: list[Step], seed: int):
+    assert run_sequence(deployment, seed, drawn) == []
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -68,6 +68,7 @@
     requests: Table[requests.RequestRow]
     attempts: Table[requests.AttemptRow]
     ended: Table[requests.EndedRow]
+    watermarks: Table[requests.WatermarkRow]
     home_records: Table[requests.HomeRow]
     witnessed: Table[requests.WitnessedRow]
     lost: Table[requests.LostRow]
@@ -122,6 +123,7 @@
         requests=requests.make_requests(),
         attempts=requests.make_attempts(),
         ended=requests.make_ended(),
+        watermarks=requests.make_watermarks(),
         home_records=requests.make_home_records(),
         witnessed=requests.make_witnessed(),
         lost=requests.make_lost(),
--- a/tools/__init__.py
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Secondary programs."""
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 from collections.abc import Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -190,7 +191,8 @@
     path = folder / f"{plan.vm_id}.ini"
     path.write_text(_settings_text(plan, addresses, platform, seeds, extra))
     process = _start(folder, plan.vm_id, ["serve", "--settings", str(path)])
-    return RunningVm(plan.vm_id, plan.zone, *addresses, process=process)
+    caller, message, admin = addresses
+    return RunningVm(plan.vm_id, plan.zone, caller, message, admin, process)
 
 
 def _start_servers(
@@ -303,7 +305,7 @@
     if pushed.returncode:
         raise FleetStartError(pushed.stderr)
     for vm in vms:
-        wait_until(lambda vm=vm: is_ready(vm, len(vms), 1), vm.vm_id)  # type: ignore[misc]
+        wait_until(partial(is_ready, vm, len(vms), 1), vm.vm_id)
     return fleet
 
 
--- /dev/null
+++ b/tools/sequences.py
@@ -0,0 +1,39 @@
+"""Runs many random sequences of work and faults and reports violations."""
+
+import random
+import sys
+import time
+from typing import Annotated
+
+import typer
+
+from burdockhitch.tests.fleets import SUDURLAND, VASTKUST
+from burdockhitch.tests.steps import draw_steps, run_sequence
+
+DEPLOYMENTS = (VASTKUST, SUDURLAND)
+STEPS_PER_SEQUENCE = 40
+MAX_REPORTS = 10
+
+
+def main(
+    n_sequences: Annotated[int, typer.Option("--count", help="Sequences.")] = 10_000,
+    first_seed: Annotated[int, typer.Option("--seed", help="First seed.")] = 1,
+) -> None:
+    """Run the sequences; the exit code is 1 if a promise was broken."""
+    started_s = time.perf_counter()
+    n_broken = 0
+    for seed in range(first_seed, first_seed + n_sequences):
+        steps = draw_steps(random.Random(seed), STEPS_PER_SEQUENCE)
+        deployment = DEPLOYMENTS[seed % len(DEPLOYMENTS)]
+        violations = run_sequence(deployment, seed, steps)
+        if violations:
+            n_broken += 1
+            if n_broken <= MAX_REPORTS:
+                typer.echo(f"seed {seed}: {violations}")
+    elapsed_s = time.perf_counter() - started_s
+    typer.echo(f"{n_sequences} sequences, {n_broken} broken, {elapsed_s:.0f} s")
+    sys.exit(1 if n_broken else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
