Reclaim a permit only from a VM that the platform listed and no longer lists

Cause: a grant counted as gone when its VM was absent from the platform's list. The list lags, so grants of VMs not listed yet were given away again: with four failing servers of four owners the ejections left 8 slots of a floor of 10. Ruled out: a race of transactions (every write had the right version). Change: a grant notes that its VM was listed since; only then does absence mean gone.

--- a/burdockhitch/systems/addresses.py
+++ b/burdockhitch/systems/addresses.py
@@ -17,6 +17,11 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
+def is_offered(vm: VmRow) -> bool:
+    """Return whether callers may be sent to a VM."""
+    return vm.status is VmStatus.ALIVE
+
+
 def choose_vms(world: World, service: str, account: str, zone: str) -> list[VmRow]:
     """Return the VMs to offer, best first.
 
@@ -32,8 +37,8 @@
     def order(vm: VmRow) -> tuple[bool, bool, bytes]:
         return vm.zone != zone, vm.vm_id not in owners, _rank(account, vm)
 
-    alive = world.vms.select("status", VmStatus.ALIVE)
-    return sorted(alive, key=order)[:N_OFFERS]
+    offered = [vm for vm in world.vms if is_offered(vm)]
+    return sorted(offered, key=order)[:N_OFFERS]
 
 
 @system(Phase.INTAKE)
--- a/burdockhitch/systems/draining.py
+++ b/burdockhitch/systems/draining.py
@@ -53,6 +53,11 @@
     start_timer(world, TimerKind.STOP, CLOSE_STEP, due_s)
 
 
+def is_idle(world: World) -> bool:
+    """Return whether no request is in progress here."""
+    return len(world.requests) == 0
+
+
 @timer_handlers(TimerKind.STOP)
 def check_idle(world: World, step: str, now: Instant) -> None:
     """Ask for the check at the end of this tick, when arrivals are accepted."""
@@ -63,7 +68,7 @@
 def stop_when_idle(world: World, now: Instant) -> None:
     """Close the listeners, then end the process, each once all work is done."""
     for event in take_events(world, events.StopDue):
-        if len(world.requests):
+        if not is_idle(world):
             due_s = now.monotonic_s + STOP_CHECK_PERIOD_S
             start_timer(world, TimerKind.STOP, event.step, due_s)
         elif event.step == CLOSE_STEP:
--- a/burdockhitch/systems/permits.py
+++ b/burdockhitch/systems/permits.py
@@ -30,10 +30,17 @@
 
 
 class GrantDocument(TypedDict):
-    """What one incarnation holds."""
+    """What one incarnation holds.
+
+    Attributes:
+        n_slots: Slots that it may eject.
+        operation_id: Transaction that granted them.
+        was_listed: Whether the platform's list had its VM since the grant.
+    """
 
     n_slots: int
     operation_id: str
+    was_listed: bool
 
 
 class PermitDocument(TypedDict):
@@ -102,23 +109,33 @@
     return max(0, n_slots - floor_slots(world, service, now))
 
 
-def _is_gone(world: World, token: str, now: Instant) -> bool:
+def _is_gone(world: World, token: str, grant: GrantDocument, now: Instant) -> bool:
+    """Return whether an incarnation can't use its grant any more.
+
+    The platform's list lags, so a VM that it does not have yet is not gone; one
+    that it had and has no more is. Names of VMs are not used twice.
+    """
     vm_id, _, incarnation = token.rpartition(".")
     if vm_id == world.local.vm_id:
         return int(incarnation) < world.local.incarnation
     read = world.listings.get(LISTING_READ)
-    is_fresh = read is not None and now.monotonic_s - read.listed_at_s < LIST_AGE_MAX_S
-    return is_fresh and vm_id not in world.listings
+    if read is None or now.monotonic_s - read.listed_at_s > LIST_AGE_MAX_S:
+        return False
+    return grant["was_listed"] and vm_id not in world.listings
 
 
 def _live_grants(
     world: World, document: PermitDocument, now: Instant
 ) -> dict[str, GrantDocument]:
-    return {
-        token: grant
-        for token, grant in document["grants"].items()
-        if not _is_gone(world, token, now)
-    }
+    grants = {}
+    for token, grant in document["grants"].items():
+        if _is_gone(world, token, grant, now):
+            count(world, "permits_reclaimed")
+            continue
+        if token.rpartition(".")[0] in world.listings:
+            grant["was_listed"] = True
+        grants[token] = grant
+    return grants
 
 
 def _stop_asking(world: World, service: str) -> None:
@@ -168,7 +185,9 @@
         return
     operation_id = start_operation(world, "permit_write", service, now)
     n_slots = n_granted + permit.n_wanted_slots
-    grants[token] = GrantDocument(n_slots=n_slots, operation_id=operation_id)
+    grants[token] = GrantDocument(
+        n_slots=n_slots, operation_id=operation_id, was_listed=False
+    )
     value: Any = PermitDocument(
         revision=revision, n_budget_slots=n_budget_slots, grants=grants
     )
--- a/burdockhitch/systems/spread.py
+++ b/burdockhitch/systems/spread.py
@@ -50,10 +50,15 @@
         push_revision(world, sender)
 
 
+def is_newer(world: World, number: int) -> bool:
+    """Return whether a revision may replace the one in force."""
+    return number > current_revision(world)
+
+
 @message_handlers("revision_push")
 def take_push(world: World, sender: str, message: RevisionPush, now: Instant) -> None:
     """Take over a newer revision from another VM."""
-    if message.number <= current_revision(world):
+    if not is_newer(world, message.number):
         count(world, "revisions_dropped", "reason", "old")
         return
     decompressor = zlib.decompressobj()
@@ -93,7 +98,7 @@
     Returns:
         Whether it came in force.
     """
-    if number <= current_revision(world):
+    if not is_newer(world, number):
         return False
     try:
         document = parse_rules(body)
--- a/burdockhitch/tests/fakes.py
+++ b/burdockhitch/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from collections import deque
 from datetime import UTC, datetime, timedelta
 from itertools import count
 from typing import Any, NamedTuple
@@ -35,6 +36,7 @@
 CONNECT_DELAY_S = 0.001
 SERVICE_TIME_S = 0.02
 MESSAGE_MAX_BYTES = 1 << 20
+ARRIVED_MAX = 10_000
 
 fakes: Registry[Any] = Registry("fake of an adapter")
 
@@ -99,6 +101,7 @@
         self.sent: dict[int, tuple[str, Any]] = {}
         self.logs: list[tuple[str, Any]] = []
         self.trace: list[str] = []
+        self.arrived: deque[tuple[str, Any]] = deque(maxlen=ARRIVED_MAX)
         self.overruns: list[tuple[str, str]] = []
         self.is_traced = False
         self._queue: list[tuple[float, int, Any]] = []
@@ -133,6 +136,17 @@
         self._tick(vm_id)
         return world
 
+    def list_vm(self, vm_id: str) -> None:
+        """Put a VM on the platform's list."""
+        address = self.worlds[vm_id].settings.vm.message_address
+        self.unlist_vm(vm_id)
+        entry = {"vm_id": vm_id, "state": "live", "message_address": address}
+        self.store.vms.append(entry)
+
+    def unlist_vm(self, vm_id: str) -> None:
+        """Take a VM off the platform's list."""
+        self.store.vms = [vm for vm in self.store.vms if vm["vm_id"] != vm_id]
+
     def kill(self, vm_id: str) -> None:
         """End a VM at once."""
         del self.worlds[vm_id]
@@ -241,6 +255,8 @@
         if world is None:
             return
         self._note("<-", vm_id, event)
+        if isinstance(event, events.VmMessageArrived):
+            self.arrived.append((vm_id, event))
         post_event(world, event)
         if vm_id not in self.paused:
             self._tick(vm_id)
--- a/burdockhitch/tests/fleets.py
+++ b/burdockhitch/tests/fleets.py
@@ -78,6 +78,7 @@
     for number in range(deployment.n_vms):
         for zone in deployment.zones:
             fleet.add_vm(f"{zone}-{number}", zone, **sections)
+            fleet.list_vm(f"{zone}-{number}")
     fleet.run(SETTLE_S)
     return fleet
 
--- a/burdockhitch/tests/steps.py
+++ b/burdockhitch/tests/steps.py
@@ -182,12 +182,41 @@
 
 @step_kinds("restart")
 def restart(sequence: Sequence, first: int, second: int) -> None:
-    gone = sorted(sequence.zones.keys() - sequence.fleet.worlds.keys())
-    if gone:
-        vm_id = gone[first % len(gone)]
-        sequence.fleet.run(0.001)
-        sequence.leaving.discard(vm_id)
-        sequence.fleet.add_vm(vm_id, sequence.zones[vm_id])
+    fleet = sequence.fleet
+    gone = sorted(sequence.zones.keys() - fleet.worlds.keys())
+    if not gone:
+        return
+    vm_id = gone[first % len(gone)]
+    zone = sequence.zones[vm_id]
+    fleet.run(0.001)
+    if second % 2:
+        fleet.unlist_vm(vm_id)
+        del sequence.zones[vm_id]
+        vm_id = f"{zone}-{fleet.clock.elapsed_s}"
+        sequence.zones[vm_id] = zone
+    sequence.leaving.discard(vm_id)
+    fleet.add_vm(vm_id, zone)
+
+
+@step_kinds("list_vms")
+def list_vms(sequence: Sequence, first: int, second: int) -> None:
+    for vm_id in sorted(sequence.fleet.worlds):
+        sequence.fleet.list_vm(vm_id)
+
+
+@step_kinds("burst")
+def burst(sequence: Sequence, first: int, second: int) -> None:
+    for number in range(80):
+        sequence.fleet.call(sequence.vm(number), "GET", "/look")
+        sequence.fleet.run(0.01)
+
+
+@step_kinds("servers_fail")
+def fail_servers(sequence: Sequence, first: int, second: int) -> None:
+    addresses = sorted(sequence.fleet.servers)
+    for number in range(1 + second % 4):
+        address = addresses[(first + 2 * number) % len(addresses)]
+        sequence.fleet.servers[address].mode = "failing"
 
 
 @step_kinds("leave")
