Hold the promises against faults on distinct processes

Change: tools/callers.py is an open-loop caller on one loop; the tests start it beside the fleet, bring about one fault, and hold the backend servers' own records against the callers'.

--- /dev/null
+++ b/burdockhitch/tests/test_processes.py
@@ -0,0 +1,149 @@
+"""Faults on distinct processes, counted from the servers' own records."""
+
+import os
+import signal
+import time
+from collections import Counter
+from typing import Any, NamedTuple
+
+import pytest
+
+from tools import fleet as tool
+
+RULES = """service booking floor=8slots queue=500ms # Karin
+route booking GET /look timeout=3s # Karin
+route booking POST /plain timeout=3s # Jonas
+route booking POST /home once=home timeout=3s # Jonas
+route booking POST /claim once=claim timeout=3s # Jonas
+"""
+VMS = [tool.VmPlan("a1", "a"), tool.VmPlan("a2", "a"), tool.VmPlan("b1", "b")]
+SERVERS = [
+    tool.ServerPlan("booking", "a", 3, 4),
+    tool.ServerPlan("booking", "b", 3, 4),
+]
+SETTINGS = "[callers]\nkeep = 1s\n"
+LOAD_S = 4.0
+RATE_PER_S = 150.0
+CALLERS_START_S = 1.0
+KINDS = ["GET:/look", "POST:/plain", "POST:/claim:key"]
+NOTICE_S = 10.0
+
+
+class Ledger(NamedTuple):
+    """What callers saw."""
+
+    records: list[dict[str, Any]]
+
+    def count(self, outcome):
+        return sum(record["outcome"] == outcome for record in self.records)
+
+
+def load(fleet, disturb):
+    """Run callers while a fault is brought about; return their ledger."""
+    addresses = [vm.caller_address for vm in fleet.vms]
+    callers = tool.start_callers(fleet, addresses, KINDS, RATE_PER_S, LOAD_S)
+    time.sleep(CALLERS_START_S)
+    disturb(fleet)
+    return Ledger(tool.read_callers(callers))
+
+
+def kill_vm(fleet):
+    fleet.vms[1].process.kill()
+
+
+def freeze_vm(fleet):
+    os.kill(fleet.vms[1].process.pid, signal.SIGSTOP)
+    time.sleep(4.0)
+    os.kill(fleet.vms[1].process.pid, signal.SIGCONT)
+
+
+def stop_vm(fleet):
+    os.kill(fleet.vms[1].process.pid, signal.SIGTERM)
+
+
+def kill_servers(fleet):
+    fleet.processes[1].kill()
+
+
+def stop_platform(fleet):
+    tool.put_json(fleet.platform_address, "/faults", {"is_down": True})
+
+
+def lose_replies(fleet):
+    tool.put_json(fleet.platform_address, "/faults", {"n_lost_replies": 50})
+
+
+def break_server(fleet):
+    behaviour = {"abort_ratio": 0.5}
+    tool.put_json(fleet.servers[0].address, "/standin/behaviour", behaviour)
+
+
+def fail_server(fleet):
+    tool.put_json(fleet.servers[0].address, "/standin/behaviour", {"error_ratio": 1.0})
+
+
+FAULTS = [
+    kill_vm,
+    freeze_vm,
+    stop_vm,
+    kill_servers,
+    stop_platform,
+    lose_replies,
+    break_server,
+    fail_server,
+]
+
+
+@pytest.mark.parametrize("disturb", FAULTS, ids=lambda fault: fault.__name__)
+def test_promises_hold_on_processes(disturb):
+    with tool.run_fleet(VMS, SERVERS, RULES, SETTINGS) as fleet:
+        ledger = load(fleet, disturb)
+        reachable = [
+            server
+            for server in fleet.servers
+            if disturb is not kill_servers or server.zone != "a"
+        ]
+        ran = Counter(
+            (record["method"], record["body"])
+            for server in reachable
+            for record in tool.ask_json(server.address, "/standin/records")["records"]
+        )
+    doubled = [body for (method, body), n in ran.items() if method == "POST" and n > 1]
+    false_refusals = [
+        record["body"]
+        for record in ledger.records
+        if record["outcome"] == "not-run" and ran[record["method"], record["body"]]
+    ]
+    assert all(record["is_own"] for record in ledger.records)
+    assert doubled == []
+    assert false_refusals == []
+    assert ledger.count("answered") > 0
+    assert ledger.count("error") == 0
+    if disturb is stop_vm:
+        assert ledger.count("broken") == 0
+        assert ledger.count("outcome-unknown") == 0
+
+
+def test_lost_request_is_named_by_another_process():
+    with tool.run_fleet(VMS, SERVERS, RULES, SETTINGS) as fleet:
+        for server in fleet.servers:
+            slow = {"service_time_s": 2.5}
+            tool.put_json(server.address, "/standin/behaviour", slow)
+        addresses = [fleet.vms[0].caller_address]
+        callers = tool.start_callers(fleet, addresses, ["POST:/plain"], 1.0, 1.0)
+        others = fleet.vms[1:]
+        tool.wait_until(lambda: find_rows(others, "witnessed"), "witness")
+        fleet.vms[0].process.kill()
+        tool.wait_until(lambda: find_rows(others, "lost"), "lost", NOTICE_S)
+        [row] = find_rows(others, "lost")
+        tool.read_callers(callers)
+    assert (row["service"], row["route_id"]) == ("booking", "POST /plain")
+    assert (row["vm_id"], row["requester"]) == ("a1", "Jonas")
+
+
+def find_rows(vms, table):
+    return [
+        row
+        for vm in vms
+        for row in tool.ask_json(vm.admin_address, "/state")["tables"][table]
+    ]
--- /dev/null
+++ b/tools/callers.py
@@ -0,0 +1,151 @@
+"""Callers on one loop: sends requests at a fixed rate and reports each outcome.
+
+The load is open loop: a request is sent when it is due, whatever became of the
+ones before. The report is JSON on standard output.
+"""
+
+import json
+import time
+from collections.abc import Iterator
+from typing import Annotated, Any, NamedTuple
+
+import treq.client
+import typer
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.error import ConnectError
+from twisted.python.failure import Failure
+from twisted.web.client import Agent, HTTPConnectionPool
+
+from burdockhitch.adapters import headers
+
+reactor: Any = _reactor
+STATUS_OK = 200
+STATUS_ERROR = 500
+TIMEOUT_S = 8.0
+CONNECT_TIMEOUT_S = 2.0
+
+
+class Kind(NamedTuple):
+    """A kind of request and whether it carries a key."""
+
+    method: str
+    path: str
+    is_keyed: bool
+
+
+class CallerRecord(NamedTuple):
+    """What became of one request."""
+
+    body: str
+    method: str
+    path: str
+    outcome: str
+    latency_s: float
+    at_s: float
+    is_own: bool
+
+
+def parse_kind(text: str) -> Kind:
+    """Return a kind from ``METHOD:path`` or ``METHOD:path:key``."""
+    method, path, *rest = text.split(":")
+    return Kind(method, path, bool(rest))
+
+
+def _classify(status: int, outcome: str) -> str:
+    if status == STATUS_OK:
+        return "answered"
+    if outcome:
+        return outcome
+    return "server error" if status == STATUS_ERROR else "error"
+
+
+class Callers:
+    """Sends requests and collects records.
+
+    Args:
+        addresses: Entry VMs, used in turn.
+        kinds: Kinds of requests, used in turn.
+        name: First part of every body.
+    """
+
+    def __init__(self, addresses: list[str], kinds: list[Kind], name: str) -> None:
+        self._addresses = addresses
+        self._kinds = kinds
+        self._name = name
+        pool = HTTPConnectionPool(reactor)
+        pool.retryAutomatically = False
+        pool.maxPersistentPerHost = 100
+        agent = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=pool)
+        self._client = treq.client.HTTPClient(agent)
+        self.records: list[CallerRecord] = []
+
+    def send(self, number: int) -> Deferred[None]:
+        """Send one request; the result fires when it ended."""
+        kind = self._kinds[number % len(self._kinds)]
+        address = self._addresses[number // len(self._kinds) % len(self._addresses)]
+        body = f"{self._name}-{number}"
+        names = {headers.IDEMPOTENCY_KEY: body} if kind.is_keyed else {}
+        started_s = time.perf_counter()
+        asked = self._client.request(
+            kind.method,
+            f"http://{address}{kind.path}",
+            data=body.encode(),
+            headers=names,
+            timeout=TIMEOUT_S,
+        )
+
+        def note(outcome: str, is_own: bool = True) -> None:
+            latency_s = time.perf_counter() - started_s
+            record = CallerRecord(
+                body, kind.method, kind.path, outcome, latency_s, time.time(), is_own
+            )
+            self.records.append(record)
+
+        def read(response: Any) -> Deferred[None]:
+            outcome = response.headers.getRawHeaders(headers.OUTCOME, [""])[0]
+            classified = _classify(response.code, outcome)
+
+            def take(content: bytes) -> None:
+                is_own = classified != "answered" or json.loads(content)["body"] == body
+                note(classified, is_own)
+
+            return treq.content(response).addCallback(take)
+
+        def fail(failure: Failure) -> None:
+            note("refused" if failure.check(ConnectError) else "broken")
+
+        return asked.addCallback(read).addErrback(fail)
+
+
+def _due_times(rate_per_s: float, duration_s: float) -> Iterator[tuple[int, float]]:
+    for number in range(int(rate_per_s * duration_s)):
+        yield number, number / rate_per_s
+
+
+def main(
+    address: Annotated[list[str], typer.Option(help="Entry VMs, ip:port.")],
+    kind: Annotated[list[str], typer.Option(help="METHOD:path or METHOD:path:key.")],
+    rate_per_s: Annotated[float, typer.Option("--rate", help="Requests a second.")],
+    duration_s: Annotated[float, typer.Option("--duration", help="Seconds.")],
+    name: Annotated[str, typer.Option(help="First part of every body.")] = "c",
+) -> None:
+    """Send requests and write what became of them."""
+    callers = Callers(address, [parse_kind(text) for text in kind], name)
+    pending: list[Deferred[None]] = []
+
+    def send(number: int) -> None:
+        pending.append(callers.send(number))
+
+    def finish() -> None:
+        DeferredList(pending).addCallback(lambda _: reactor.stop())
+
+    for number, due_s in _due_times(rate_per_s, duration_s):
+        reactor.callLater(due_s, send, number)
+    reactor.callLater(duration_s, finish)
+    reactor.run()
+    typer.echo(json.dumps([record._asdict() for record in callers.records]))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -23,6 +23,7 @@
 POLL_S = 0.05
 STOP_TIMEOUT_S = 15.0
 HTTP_TIMEOUT_S = 15.0
+CALLERS_TIMEOUT_S = 60.0
 
 
 class VmPlan(NamedTuple):
@@ -320,6 +321,34 @@
         process.wait(STOP_TIMEOUT_S)
 
 
+def start_callers(
+    fleet: Fleet,
+    addresses: list[str],
+    kinds: list[str],
+    rate_per_s: float,
+    duration_s: float,
+    name: str = "c",
+) -> Any:
+    """Start callers as a process; see ``tools/callers.py``."""
+    command = [sys.executable, "-m", "tools.callers", "--name", name]
+    command += ["--rate", str(rate_per_s), "--duration", str(duration_s)]
+    for address in addresses:
+        command += ["--address", address]
+    for kind in kinds:
+        command += ["--kind", kind]
+    root = Path(__file__).parent.parent
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True, cwd=root)
+    fleet.processes.append(process)
+    return process
+
+
+def read_callers(process: Any) -> list[dict[str, Any]]:
+    """Wait for the callers' end and return their records."""
+    output, _ = process.communicate(timeout=CALLERS_TIMEOUT_S)
+    records: list[dict[str, Any]] = json.loads(output)
+    return records
+
+
 def read_records(fleet: Fleet) -> list[dict[str, Any]]:
     """Return what all backend servers ran."""
     records = []
