--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,152 @@
+"""Runs both deployments in small on loopback, breaks things and reports.
+
+The exit code is 0 only if the promises held.
+"""
+
+import json
+import signal
+import sys
+import time
+from collections import Counter
+from typing import Any, NamedTuple
+
+import typer
+
+from tools import fleet as tool
+
+VMS = [
+    tool.VmPlan("a1", "a"),
+    tool.VmPlan("a2", "a"),
+    tool.VmPlan("b1", "b"),
+    tool.VmPlan("b2", "b"),
+]
+SERVERS = [
+    tool.ServerPlan("booking", "a", 3, 4),
+    tool.ServerPlan("booking", "b", 3, 4),
+    tool.ServerPlan("payments", "a", 2, 4),
+    tool.ServerPlan("bench", "b", 4, 2),
+    tool.ServerPlan("ledger", "a", 2, 2),
+]
+RULES = """service booking floor=12slots health=detection_first # Karin, tour desk
+service payments floor=4slots health=detection_first # Jonas, quay kiosk
+service bench floor=4slots health=few_false_ejections # Sigrun, bench desk
+service ledger floor=2slots health=few_false_ejections # Ari, accounts
+route booking GET /tours/* timeout=2s # Karin, tour desk
+route booking POST /holds timeout=4s # Karin, tour desk
+route payments POST /deposits once=claim timeout=4s # Jonas, quay kiosk
+route bench GET /lots/* timeout=2s # Sigrun, bench desk
+route ledger POST /records once=claim timeout=4s # Ari, accounts
+"""
+KINDS = [
+    "GET:/tours/1",
+    "POST:/holds",
+    "POST:/deposits:key",
+    "GET:/lots/7",
+    "POST:/records:key",
+]
+RATE_PER_S = 150.0
+LOAD_S = 11.0
+GRAY_AFTER_S = 2.0
+KILL_AFTER_S = 3.0
+LOST_AFTER_S = 5.0
+
+
+class Findings(NamedTuple):
+    """What the demo counted."""
+
+    outcomes: Counter[str]
+    n_doubled: int
+    n_mixed: int
+    n_false_refusals: int
+    n_unnoticed: int
+    ejections: list[dict[str, Any]]
+
+
+def _read_log(fleet: tool.Fleet, event: str) -> list[dict[str, Any]]:
+    lines = []
+    for vm in fleet.vms:
+        for text in (fleet.folder / f"{vm.vm_id}.log").read_text().splitlines():
+            if text.startswith("{") and f'"event":"{event}"' in text:
+                lines.append(json.loads(text))
+    return lines
+
+
+def _break_things(fleet: tool.Fleet) -> None:
+    time.sleep(GRAY_AFTER_S)
+    gray = fleet.servers[0]
+    typer.echo(f"backend server {gray.address} now fails real work, not probes")
+    behaviour = {"error_ratio": 1.0}
+    tool.put_json(gray.address, "/standin/behaviour", behaviour)
+    time.sleep(KILL_AFTER_S)
+    typer.echo(f"entry VM {fleet.vms[1].vm_id} is killed")
+    fleet.vms[1].process.kill()
+
+
+def _count_unnoticed(fleet: tool.Fleet, records: list[dict[str, Any]]) -> int:
+    """Return requests of the killed VM that ran and that nobody named."""
+    time.sleep(LOST_AFTER_S)
+    ran = tool.read_records(fleet)
+    broken = {record["body"] for record in records if record["outcome"] == "broken"}
+    lost_ids = {line["request_id"] for line in _read_log(fleet, "request_lost")}
+    return sum(
+        record["method"] == "POST"
+        and record["body"] in broken
+        and record["request_id"] not in lost_ids
+        for record in ran
+    )
+
+
+def _examine(fleet: tool.Fleet, records: list[dict[str, Any]]) -> Findings:
+    n_unnoticed = _count_unnoticed(fleet, records)
+    ran = tool.read_records(fleet)
+    n_runs = Counter(row["body"] for row in ran if row["method"] == "POST")
+    ids = {row["body"] for row in ran}
+    changes = _read_log(fleet, "server_changed")
+    return Findings(
+        outcomes=Counter(record["outcome"] for record in records),
+        n_doubled=sum(n - 1 for n in n_runs.values()),
+        n_mixed=sum(not record["is_own"] for record in records),
+        n_false_refusals=sum(
+            record["outcome"] == "not-run" and record["body"] in ids
+            for record in records
+        ),
+        n_unnoticed=n_unnoticed,
+        ejections=[line for line in changes if line["after"] == "ejected"],
+    )
+
+
+def _report(findings: Findings) -> bool:
+    typer.echo(f"requests: {sum(findings.outcomes.values())}")
+    for outcome, n_requests in findings.outcomes.most_common():
+        typer.echo(f"  {outcome}: {n_requests}")
+    for line in findings.ejections:
+        typer.echo(
+            f"ejected: {line['server']} by {line['vm']}, cause {line['cause']}, "
+            f"rule line {line['rule_line']} of {line['requester']}"
+        )
+    typer.echo(
+        f"doubled = {findings.n_doubled}, mixed = {findings.n_mixed}, "
+        f"falsely refused = {findings.n_false_refusals}, "
+        f"lost = {findings.n_unnoticed}"
+    )
+    counts = findings[1:5]
+    return not any(counts) and bool(findings.ejections)
+
+
+def main() -> None:
+    """Start, load, break and examine a fleet."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    started_s = time.monotonic()
+    with tool.run_fleet(VMS, SERVERS, RULES) as fleet:
+        typer.echo(f"{len(fleet.vms)} entry VMs, {len(fleet.servers)} backend servers")
+        addresses = [vm.caller_address for vm in fleet.vms]
+        callers = tool.start_callers(fleet, addresses, KINDS, RATE_PER_S, LOAD_S)
+        _break_things(fleet)
+        is_held = _report(_examine(fleet, tool.read_callers(callers)))
+    typer.echo(f"{'the promises held' if is_held else 'A PROMISE WAS BROKEN'}")
+    typer.echo(f"{time.monotonic() - started_s:.1f} s")
+    sys.exit(0 if is_held else 1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
