Avoid silent owners at once, probe at random, and prove racing operators

Causes, found by the benchmarks: (1) an entry VM went on forwarding to a dead or paused owner until the view changed; (2) VMs that start together walked their views in step, so a VM was probed in bursts with gaps of many seconds; (3) the argument library carries its own copy of its error types, so a wrong command line ended in a trace. Changes: an owner that is not heard for 0.1 s after a forward is probed, and is avoided when 0.1 s more pass; each probe goes to a random VM; exit codes come from the library's own exit. Four operators that push at once, also with two lost answers: all rules in, revisions 1 to 5 in order.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -13,11 +13,21 @@
     footprint,
     latency,
     peak,
+    takeover,
     utilisation,
 )
 from benchmarks.results import benchmarks
 
-MODULES = (control, decisions, detection, footprint, latency, peak, utilisation)
+MODULES = (
+    control,
+    decisions,
+    detection,
+    footprint,
+    latency,
+    peak,
+    takeover,
+    utilisation,
+)
 DEFAULT_PATH = Path("build/benchmarks.json")
 
 
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -80,10 +80,12 @@
     text = tool.write_rules(fleet.servers, RULES)
     extra = "limit visitor rate=5/s burst=9 # Bench\n"
     head = "# revision 1 " + _head_hash(fleet) + "\n"
-    tool.push(fleet, head + text + extra)
+    pushing = tool.start_push(fleet, head + text + extra)
+    tool.wait_until(lambda: _head_number(fleet) == 2, "commit")
     elapsed_s = _time_until(
         lambda: all(_revision(vm) == 2 for vm in fleet.vms), "revision"
     )
+    pushing.wait()
     case = f"{n_vms} VMs, revision in force"
     yield Result("control", case, elapsed_s, "s", "2")
     others, victim = fleet.vms[:-1], fleet.vms[-1]
@@ -104,6 +106,11 @@
     yield Result("control", f"{n_vms} VMs, killed VM noticed", elapsed_s, "s", "5")
 
 
+def _head_number(fleet: tool.Fleet) -> int:
+    row = tool.ask_json(fleet.platform_address, "/tables/revisions/rows/head")
+    return int(row["value"]["number"])
+
+
 def _head_hash(fleet: tool.Fleet) -> str:
     row = tool.ask_json(fleet.platform_address, "/tables/revisions/rows/head")
     return str(row["value"]["body_hash"])
--- /dev/null
+++ b/benchmarks/takeover.py
@@ -0,0 +1,51 @@
+"""Requests that a dead or paused owner costs before it is avoided."""
+
+from collections.abc import Iterator
+
+from benchmarks.results import Result, benchmarks
+from burdockhitch.problems import is_not_run
+from burdockhitch.tests import fleets
+from burdockhitch.tests.fakes import FakeFleet
+from burdockhitch.tests.fleets import Deployment
+
+RATE_PER_S = 100
+LOAD_S = 6.0
+SERVICE_TIME_S = 0.2
+SEEDS = range(10)
+DEPLOYMENT = Deployment("booking", ("a", "b", "c"), 2, 4, 4, 8, "detection_first")
+
+
+def _count_unknown(fleet: FakeFleet) -> int:
+    refusals = [
+        getattr(reply.command, "refusal", None) for reply in fleet.replies.values()
+    ]
+    return sum(
+        refusal is not None and not is_not_run(refusal.error) for refusal in refusals
+    )
+
+
+def _run(seed: int, is_paused: bool) -> int:
+    """Load one entry VM beyond its own slots, so that it forwards."""
+    fleet = fleets.start_fleet(DEPLOYMENT, seed)
+    victim = sorted({row.owner_vm_id for row in fleet.worlds["a-0"].ownerships})[-1]
+    if is_paused:
+        fleet.paused.add(victim)
+    else:
+        fleet.kill(victim)
+    entry = sorted(vm_id for vm_id in fleet.worlds if vm_id != victim)[0]
+    for server in fleet.servers.values():
+        server.service_time_s = SERVICE_TIME_S
+    for number in range(int(RATE_PER_S * LOAD_S)):
+        fleet.call(entry, "POST", "/plain", f"p{number}".encode())
+        fleet.run(1 / RATE_PER_S)
+    fleet.run(5.0)
+    return _count_unknown(fleet)
+
+
+@benchmarks("takeover")
+def measure_takeover() -> Iterator[Result]:
+    """Measure outcomes unknown at 100 requests a second through one entry VM."""
+    for name, is_paused in (("killed", False), ("paused", True)):
+        counts = [_run(seed, is_paused) for seed in SEEDS]
+        mean = sum(counts) / len(counts)
+        yield Result("takeover", f"owner {name}", mean, "outcomes unknown")
--- a/burdockhitch/__main__.py
+++ b/burdockhitch/__main__.py
@@ -2,14 +2,9 @@
 
 import sys
 
-import typer
-from click.exceptions import ClickException
-
-from burdockhitch.command import app, exit_code_of
+from burdockhitch.command import EXIT_FAILED, EXIT_OK, app, exit_code_of
 from burdockhitch.errors import BurdockhitchError
 
-EXIT_INTERRUPTED = 130
-
 
 def main(argv: list[str] | None = None) -> int:
     """Run the command line.
@@ -21,20 +16,22 @@
         The exit code.
     """
     try:
-        result = app(args=argv, standalone_mode=False, prog_name="burdockhitch")
+        app(args=argv, prog_name="burdockhitch")
     except BurdockhitchError as error:
         sys.stderr.write(f"{error}\n")
         return exit_code_of(error)
-    except ClickException as error:
-        error.show()
-        return error.exit_code
-    except typer.Abort:
-        return EXIT_INTERRUPTED
     except OSError as error:
         sys.stderr.write(f"{error}\n")
-        return 1
-    return result if isinstance(result, int) else 0
+        return EXIT_FAILED
+    except SystemExit as ended:
+        return ended.code if isinstance(ended.code, int) else EXIT_FAILED
+    return EXIT_OK
 
 
-if __name__ == "__main__":
+def run() -> None:
+    """Run the command line and end the process."""
     sys.exit(main())
+
+
+if __name__ == "__main__":
+    run()
--- a/burdockhitch/systems/membership.py
+++ b/burdockhitch/systems/membership.py
@@ -25,6 +25,7 @@
     take_digests,
     whole_view,
 )
+from burdockhitch.systems.routing import SILENCE_S
 from burdockhitch.systems.spread import note_revision
 from burdockhitch.systems.timing import message_handlers, timer_handlers
 from burdockhitch.tables.revisions import ProbeRow, RelayRow
@@ -105,12 +106,7 @@
 
 def _next_target(world: World) -> VmRow | None:
     others = other_vms(world)
-    if not others:
-        return None
-    sequence = next_sequence(world, "probe_order")
-    if sequence % len(others) == 0:
-        return world.rng.choice(others)
-    return others[sequence % len(others)]
+    return world.rng.choice(others) if others else None
 
 
 @timer_handlers(TimerKind.PROBE_PERIOD)
@@ -122,12 +118,36 @@
     target = _next_target(world)
     if target is None or target.vm_id in world.probes:
         return
+    _probe(world, target.vm_id, now)
+
+
+def _probe(world: World, vm_id: str, now: Instant) -> None:
+    settings = world.settings.membership
     sequence = next_sequence(world, "probe")
-    world.probes.insert(ProbeRow(target.vm_id, sequence, False))
-    send_ping(world, target.vm_id, sequence)
+    world.probes.insert(ProbeRow(vm_id, sequence, False))
+    send_ping(world, vm_id, sequence)
     ack_due_s = now.monotonic_s + settings.ack_timeout_s
-    start_timer(world, TimerKind.ACK, target.vm_id, ack_due_s)
-    start_timer(world, TimerKind.ROUND_END, target.vm_id, due_s)
+    start_timer(world, TimerKind.ACK, vm_id, ack_due_s)
+    end_due_s = now.monotonic_s + settings.probe_period_s
+    start_timer(world, TimerKind.ROUND_END, vm_id, end_due_s)
+
+
+@timer_handlers(TimerKind.SILENCE)
+def probe_silent(world: World, vm_id: str, now: Instant) -> None:
+    """Probe an owner that has not answered for a while."""
+    if vm_id in world.vms and vm_id not in world.probes:
+        _probe(world, vm_id, now)
+    due_s = now.monotonic_s + SILENCE_S
+    start_timer(world, TimerKind.UNREACHABLE, vm_id, due_s)
+
+
+@timer_handlers(TimerKind.UNREACHABLE)
+def avoid_silent(world: World, vm_id: str, now: Instant) -> None:
+    """Route around an owner that did not answer the probe either."""
+    vm = world.vms.get(vm_id)
+    if vm is not None and vm.is_reachable:
+        count(world, "owners_avoided")
+        world.vms.replace(vm._replace(is_reachable=False))
 
 
 def _make_report(world: World, service: str) -> LatencyReport:
--- a/burdockhitch/systems/routing.py
+++ b/burdockhitch/systems/routing.py
@@ -16,6 +16,7 @@
 from burdockhitch.world import World, next_sequence, send_message, start_timer
 
 RESEND_S = 1.0
+SILENCE_S = 0.1
 RETRY_AFTER_S = 1.0
 
 RoutingPolicy = Callable[[World, RequestRow, list[CapacityRow]], CapacityRow]
@@ -57,19 +58,19 @@
     return max(candidates, key=lambda capacity: capacity.n_free)
 
 
-def _is_reachable(world: World, vm_id: str) -> bool:
-    vm = world.vms.get(vm_id)
-    return vm is not None and vm.status is VmStatus.ALIVE and vm.is_reachable
-
-
 def _find_candidates(world: World, row: RequestRow) -> list[CapacityRow]:
-    return [
-        capacity
-        for capacity in world.capacities.select("service", row.service)
-        if capacity.vm_id not in row.tried
-        and capacity.vm_id != world.local.vm_id
-        and _is_reachable(world, capacity.vm_id)
-    ]
+    reachable = []
+    alive = []
+    for capacity in world.capacities.select("service", row.service):
+        vm = world.vms.get(capacity.vm_id)
+        if vm is None or vm.status is not VmStatus.ALIVE:
+            continue
+        if vm.vm_id in row.tried or vm.vm_id == world.local.vm_id:
+            continue
+        alive.append(capacity)
+        if vm.is_reachable:
+            reachable.append(capacity)
+    return reachable or alive
 
 
 def _queue(world: World, row: RequestRow, now: Instant) -> None:
@@ -94,6 +95,13 @@
     reserve_forward(world, capacity)
     send_forward(world, row, now)
     start_timer(world, TimerKind.RESEND, row.request_id, now.monotonic_s + RESEND_S)
+    watch_silence(world, vm.vm_id, now)
+
+
+def watch_silence(world: World, vm_id: str, now: Instant) -> None:
+    """Probe an owner soon unless anything is heard of it before."""
+    if (TimerKind.SILENCE, vm_id) not in world.timers:
+        start_timer(world, TimerKind.SILENCE, vm_id, now.monotonic_s + SILENCE_S)
 
 
 def send_forward(world: World, row: RequestRow, now: Instant) -> None:
--- a/burdockhitch/systems/timing.py
+++ b/burdockhitch/systems/timing.py
@@ -9,7 +9,8 @@
 from burdockhitch.registry import Registry
 from burdockhitch.systems.phases import Phase, system
 from burdockhitch.tables.revisions import OperationRow
-from burdockhitch.world import World, count, take_events
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import World, count, stop_timer, take_events
 
 TimerHandler = Callable[[World, str, Instant], None]
 MessageHandler = Callable[[World, str, Any, Instant], None]
@@ -38,6 +39,8 @@
 def deliver_messages(world: World, now: Instant) -> None:
     """Call the handler of every message from another VM."""
     for event in take_events(world, events.VmMessageArrived):
+        stop_timer(world, TimerKind.SILENCE, event.sender_vm_id)
+        stop_timer(world, TimerKind.UNREACHABLE, event.sender_vm_id)
         kind = KIND_BY_MESSAGE_TYPE[type(event.message)]
         message_handlers[kind](world, event.sender_vm_id, event.message, now)
 
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -17,6 +17,8 @@
     PROBE_PERIOD = "probe_period"
     ACK = "ack"
     ROUND_END = "round_end"
+    SILENCE = "silence"
+    UNREACHABLE = "unreachable"
     SUSPICION = "suspicion"
     SERVER_PROBE = "server_probe"
     HOLD = "hold"
--- /dev/null
+++ b/burdockhitch/tests/test_command.py
@@ -0,0 +1,72 @@
+from pathlib import Path
+
+import pytest
+
+from burdockhitch.__main__ import main
+from burdockhitch.command import (
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_UNAVAILABLE,
+    EXIT_UNUSABLE,
+    exit_code_of,
+)
+from burdockhitch.errors import (
+    LargeDeletionError,
+    MergeConflictError,
+    PlatformUnavailableError,
+    RulesFileError,
+    UnknownNameError,
+)
+
+EXAMPLES = Path(__file__).parent.parent.parent / "examples"
+GOOD = "service s floor=0slots # K\n"
+
+
+@pytest.mark.parametrize(
+    ("body", "code", "text"),
+    [
+        (GOOD, EXIT_OK, "1 rules are usable"),
+        ("# revision 3 abc\n" + GOOD, EXIT_OK, "1 rules are usable"),
+        ("servce s floor=0slots # K\n", EXIT_UNUSABLE, "did you mean 'service'"),
+        ("service s floor=0slots\n", EXIT_UNUSABLE, "who asked for the rule"),
+        (GOOD + "route s GET /a # K\n" * 2, EXIT_UNUSABLE, "line 2 (K) has it"),
+        ("service s floor=9slots # K\n", EXIT_UNUSABLE, "at most the 0 slots"),
+        ("service s floor=9 # K\n", EXIT_UNUSABLE, "slots, as in 8slots"),
+        ("", EXIT_UNUSABLE, "empty file"),
+        (b"\x89PNG\r\n", EXIT_UNUSABLE, "UTF-8 text"),
+    ],
+)
+def test_check_says_what_is_wrong(tmp_path, capsys, body, code, text):
+    path = tmp_path / "rules"
+    path.write_bytes(body if isinstance(body, bytes) else body.encode())
+    assert main(["rules", "check", str(path)]) == code
+    captured = capsys.readouterr()
+    assert text in captured.out + captured.err
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (["version"], EXIT_OK),
+        (["rules", "check", "missing-file"], EXIT_FAILED),
+        (["check-settings", str(EXAMPLES / "vastkust.ini")], EXIT_OK),
+        (["check-settings", "missing-file"], EXIT_UNUSABLE),
+        (["no-such-command"], EXIT_UNUSABLE),
+    ],
+)
+def test_exit_codes(arguments, code):
+    assert main(arguments) == code
+
+
+@pytest.mark.parametrize(
+    ("error", "code"),
+    [
+        (RulesFileError(()), EXIT_UNUSABLE),
+        (MergeConflictError("", "", "", ""), 3),
+        (LargeDeletionError(4, 3), 3),
+        (PlatformUnavailableError(), EXIT_UNAVAILABLE),
+        (UnknownNameError("r", "n", ()), EXIT_FAILED),
+    ],
+)
+def test_every_error_has_an_exit_code(error, code):
+    assert exit_code_of(error) == code
--- /dev/null
+++ b/burdockhitch/tests/test_operators.py
@@ -0,0 +1,81 @@
+"""Operators that race each other, on distinct processes."""
+
+import pytest
+
+from tools import fleet as tool
+
+GOOD = "service s floor=0slots # Karin\n"
+
+
+def read_head(fleet):
+    return tool.ask_json(fleet.platform_address, "/tables/revisions/rows/head")["value"]
+
+
+def read_text(fleet):
+    path = f"/objects/{read_head(fleet)['body_hash']}"
+    return tool.ask(fleet.platform_address, "GET", path).body.decode()
+
+
+def limit(name, rate, requester):
+    return f"limit {name} rate={rate}/s burst=9 # {requester}\n"
+
+
+@pytest.mark.parametrize("n_lost_replies", [0, 2])
+def test_racing_pushes_lose_no_rule_and_repeat_no_number(n_lost_replies):
+    names = ["eva", "ari", "jonas", "karin"]
+    with tool.run_fleet([], [], GOOD) as fleet:
+        base = f"# revision 1 {read_head(fleet)['body_hash']}\n{GOOD}"
+        faults = {"n_lost_replies": n_lost_replies}
+        tool.put_json(fleet.platform_address, "/faults", faults)
+        pushes = [
+            tool.start_push(fleet, base + limit(name, 1, name), name) for name in names
+        ]
+        outputs = [push.communicate(timeout=30)[1] for push in pushes]
+        codes = [push.returncode for push in pushes]
+        text = read_text(fleet)
+        rows = tool.ask_json(fleet.platform_address, "/tables/revisions/rows")
+    assert codes == [0, 0, 0, 0], outputs
+    assert all(limit(name, 1, name) in text for name in names)
+    assert sorted(rows, key=str) == ["1", "2", "3", "4", "5", "head"]
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "code", "texts"),
+    [
+        (limit("a", 1, "Eva"), limit("a", 2, "Ari"), 3, ("Eva", "Ari", "rate=1/s")),
+        (limit("a", 1, "Eva"), limit("a", 1, "Eva"), 0, ()),
+        (limit("a", 1, "Eva"), limit("b", 2, "Ari"), 0, ()),
+        (limit("a", 1, "Eva"), "limit c rate=1/s # Ari\n", 2, ("burst=",)),
+    ],
+)
+def test_a_clash_names_both_and_changes_nothing(first, second, code, texts):
+    with tool.run_fleet([], [], GOOD) as fleet:
+        base = f"# revision 1 {read_head(fleet)['body_hash']}\n{GOOD}"
+        assert tool.start_push(fleet, base + first, "one").wait(30) == 0
+        after_first = read_text(fleet)
+        push = tool.start_push(fleet, base + second, "two")
+        error = push.communicate(timeout=30)[1]
+        text = read_text(fleet)
+    assert push.returncode == code
+    assert all(part in error for part in texts)
+    assert (text == after_first) is (code != 0 or first == second)
+
+
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        ("", 2),
+        (GOOD, 1),
+        ("{base}" + limit("a", 1, "K"), 2),
+    ],
+    ids=["empty", "no base", "rule without its service"],
+)
+def test_a_bad_push_changes_nothing(text, code):
+    rules = GOOD + "route s GET /a # Karin\n"
+    with tool.run_fleet([], [], rules) as fleet:
+        before = read_head(fleet)
+        base = f"# revision 1 {before['body_hash']}\nroute s GET /a # Karin\n"
+        push = tool.start_push(fleet, text.replace("{base}", base))
+        push.communicate(timeout=30)
+        assert push.returncode == code
+        assert read_head(fleet) == before
--- /dev/null
+++ b/burdockhitch/tests/test_windows.py
@@ -0,0 +1,60 @@
+import pytest
+
+from burdockhitch.systems.windows import (
+    LOW_LOAD_S,
+    Measure,
+    learn_load,
+    suggest_hours,
+    window_policies,
+)
+from burdockhitch.tables.loads import WindowStateRow
+from burdockhitch.tables.routes import WindowRow
+from burdockhitch.tests.fakes import FakeFleet
+
+WINDOW = WindowRow("w", "s", 1050, 1260, "Europe/Stockholm", 96, 60.0, "Karin", 7)
+OFF = WindowStateRow("w", False, "", 0.0)
+BY_LOAD = WindowStateRow("w", True, "load", 0.0)
+BY_HOURS = WindowStateRow("w", True, "hours", 0.0)
+FADING = BY_LOAD._replace(low_since_s=100.0)
+
+
+@pytest.mark.parametrize(
+    ("policy", "state", "load", "is_within", "is_absent", "now_s", "expected"),
+    [
+        ("hours", OFF, 90.0, False, False, 100.0, OFF),
+        ("hours", OFF, 0.0, True, True, 100.0, BY_HOURS),
+        ("hours_or_load", OFF, 90.0, False, False, 100.0, BY_LOAD),
+        ("hours_or_load", OFF, 0.0, True, False, 100.0, BY_HOURS),
+        ("hours_or_load", OFF, 0.0, True, True, 100.0, OFF),
+        ("hours_or_load", OFF, 59.0, False, False, 100.0, OFF),
+        ("hours_or_load", BY_LOAD, 55.0, False, False, 100.0, BY_LOAD),
+        ("hours_or_load", BY_LOAD, 20.0, False, False, 100.0, FADING),
+        ("hours_or_load", FADING, 20.0, False, False, 100.0 + LOW_LOAD_S / 2, FADING),
+        ("hours_or_load", FADING, 20.0, False, False, 100.0 + LOW_LOAD_S, OFF),
+        ("hours_or_load", FADING, 55.0, False, False, 200.0, BY_LOAD),
+        ("hours_or_load", BY_HOURS, 55.0, False, False, 100.0, BY_HOURS),
+        ("hours_or_load", BY_HOURS, 20.0, False, False, 100.0, OFF),
+    ],
+)
+def test_windows_follow_the_load(
+    policy, state, load, is_within, is_absent, now_s, expected
+):
+    measure = Measure(load, is_within, is_absent, now_s)
+    assert window_policies[policy](WINDOW, state, measure) == expected
+
+
+@pytest.mark.parametrize(
+    ("busy_quarters", "hours", "drift"),
+    [
+        (range(80, 92), "20:00-23:00", 150),
+        (range(70, 84), "17:30-21:00", 0),
+        ((), "", 0),
+    ],
+)
+def test_drift_is_shown_with_its_requester(busy_quarters, hours, drift):
+    world = FakeFleet().add_vm("a1", "a")
+    for day in range(1, 6):
+        for quarter in range(96):
+            load = 80.0 if quarter in busy_quarters else 10.0
+            learn_load(world, WINDOW, quarter, load, day)
+    assert suggest_hours(world, WINDOW) == ("w", hours, drift, "Karin", 7)
--- /dev/null
+++ b/tools/build_binary.py
@@ -0,0 +1,48 @@
+"""Builds ``dist/burdockhitch``: one file that runs as one process.
+
+The file is a zip archive with all libraries, run by the machine's Python. On
+its first start it unpacks to the folder that ``SHIV_ROOT`` names; on a VM
+without a disk that folder is in memory.
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+TARGET = ROOT / "dist" / "burdockhitch"
+NOT_SHIPPED = ("tests",)
+DEVELOPMENT = frozenset({"pytest", "hypothesis", "ruff", "mypy", "shiv", "pip"})
+
+
+def runtime_requirements(text: str) -> list[str]:
+    """Return the pinned libraries that the program needs when it runs."""
+    lines = [line.strip() for line in text.splitlines() if "==" in line]
+    return [line for line in lines if line.partition("==")[0] not in DEVELOPMENT]
+
+
+def main() -> None:
+    """Install the libraries and the package into a folder and pack it."""
+    TARGET.parent.mkdir(exist_ok=True)
+    requirements = runtime_requirements((ROOT / "requirements.lock").read_text())
+    with tempfile.TemporaryDirectory() as name:
+        site = Path(name) / "site"
+        install = [sys.executable, "-m", "pip", "install", "--quiet", "--no-deps"]
+        subprocess.run([*install, "--target", str(site), *requirements], check=True)
+        shutil.copytree(
+            ROOT / "burdockhitch",
+            site / "burdockhitch",
+            ignore=shutil.ignore_patterns(*NOT_SHIPPED, "__pycache__"),
+        )
+        pack = [sys.executable, "-m", "shiv", "--site-packages", str(site)]
+        entry = ["--entry-point", "burdockhitch.__main__:run"]
+        python = ["--python", "/usr/bin/env python3"]
+        target = ["--output-file", str(TARGET), "--compressed"]
+        subprocess.run([*pack, *entry, *python, *target], check=True)
+    sys.stdout.write(f"{TARGET} {TARGET.stat().st_size / 1024 / 1024:.1f} MB\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -224,14 +224,19 @@
     return other_rules + "\n".join(lines) + "\n"
 
 
-def push(fleet: Fleet, text: str, *arguments: str) -> subprocess.CompletedProcess[str]:
-    """Push rules as an operator does."""
-    path = fleet.folder / "rules.txt"
+def start_push(fleet: Fleet, text: str, name: str = "tools", *arguments: str) -> Any:
+    """Start a push of rules as an operator does; return the process."""
+    path = fleet.folder / f"{name}.rules"
     path.write_text(text)
     command = [sys.executable, "-m", "burdockhitch", "rules", "push", str(path)]
-    command += ["--platform", fleet.platform_address, *arguments]
-    root = Path(__file__).parent.parent
-    return subprocess.run(command, capture_output=True, text=True, cwd=root)
+    command += ["--platform", fleet.platform_address, "--operator", name, *arguments]
+    return subprocess.Popen(
+        command,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        cwd=Path(__file__).parent.parent,
+    )
 
 
 def is_ready(vm: RunningVm, n_vms: int, revision: int) -> bool:
@@ -302,9 +307,10 @@
         processes.append(vm.process)
         vms.append(vm)
     fleet = Fleet(folder, platform, platform_process, vms, servers, processes)
-    pushed = push(fleet, write_rules(servers, other_rules), "--operator", "tools")
-    if pushed.returncode:
-        raise FleetStartError(pushed.stderr)
+    pushing = start_push(fleet, write_rules(servers, other_rules))
+    errors = pushing.communicate(timeout=START_TIMEOUT_S)[1]
+    if pushing.returncode:
+        raise FleetStartError(errors)
     for vm in vms:
         wait_until(partial(is_ready, vm, len(vms), 1), vm.vm_id)
     return fleet
