Refuse at once what can't meet its deadline; hold the callers' interface

Cause: a request with 0.9 ms left was sent and ended as outcome unknown, though a refusal as not run was certain beforehand. Change: admission and dispatch refuse as not run when less is left than half of the service's median latency (1 ms while none is known). Backend servers are dialled by IP number through a plain endpoint, without the name handling of the agent.

--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -1,5 +1,6 @@
 """The daemon of an entry VM: one loop on one thread."""
 
+import gc
 import random
 import signal
 import sys
@@ -7,7 +8,6 @@
 
 import treq.client
 from twisted.internet.endpoints import serverFromString
-from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.server import Site
 
 from burdockhitch import commands, events, log, systems
@@ -74,11 +74,8 @@
 
 
 def _make_client(world: World, reactor: Any) -> treq.client.HTTPClient:
-    pool = HTTPConnectionPool(reactor)
-    pool.retryAutomatically = False
     timeout_s = world.settings.platform.timeout_s
-    agent = Agent(reactor, connectTimeout=timeout_s, pool=pool)
-    return treq.client.HTTPClient(agent)
+    return treq.client.HTTPClient(servers.make_agent(reactor, timeout_s))
 
 
 def listen(reactor: Any, address: str, site: Site, ports: list[Any]) -> None:
@@ -154,5 +151,7 @@
     listen(loop, settings.vm.admin_address, admin_site, process.ports)
     process.ticker.request_tick()
     loop.callWhenRunning(_handle_signals, process)
+    # Modules stay until the end; the collector need not look at them again.
+    gc.freeze()
     log.write_event("INFO", "started", {"incarnation": world.local.incarnation})
     loop.run(installSignalHandlers=False)
--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, UserError
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -18,7 +19,7 @@
     ResponseDone,
 )
 from twisted.web.http_headers import Headers
-from twisted.web.iweb import IBodyProducer
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 from burdockhitch import commands, events
@@ -110,13 +111,35 @@
             transport.abortConnection()
 
 
+@implementer(IAgentEndpointFactory)
+class AddressEndpoints:
+    """Dials IP numbers and resolves no names.
+
+    Args:
+        reactor: Twisted reactor.
+        connect_timeout_s: Time to open a connection.
+    """
+
+    def __init__(self, reactor: Any, connect_timeout_s: float) -> None:
+        self._reactor = reactor
+        self._connect_timeout_s = connect_timeout_s
+
+    def endpointForURI(self, uri: Any) -> TCP4ClientEndpoint:  # noqa: N802
+        """Return the endpoint of an address."""
+        host = uri.host.decode("ascii")
+        return TCP4ClientEndpoint(
+            self._reactor, host, uri.port, timeout=self._connect_timeout_s
+        )
+
+
 def make_agent(reactor: Any, connect_timeout_s: float) -> Agent:
-    """Return the agent for backend servers; it never repeats a request."""
+    """Return an agent that dials addresses and never repeats a request."""
     pool = HTTPConnectionPool(reactor)
     pool.retryAutomatically = False
     pool.cachedConnectionTimeout = IDLE_CONNECTION_S
     pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_SERVER
-    return Agent(reactor, connectTimeout=connect_timeout_s, pool=pool)
+    endpoints = AddressEndpoints(reactor, connect_timeout_s)
+    return Agent.usingEndpointFactory(reactor, endpoints, pool=pool)
 
 
 def classify_failure(failure: Failure) -> AttemptFailure:
--- a/burdockhitch/systems/admission.py
+++ b/burdockhitch/systems/admission.py
@@ -5,6 +5,7 @@
 from burdockhitch.clock import Instant
 from burdockhitch.errors import RateLimitedError
 from burdockhitch.registry import Registry
+from burdockhitch.systems.deadlines import refuse_hopeless
 from burdockhitch.systems.endings import advance, make_refusal, refuse_request
 from burdockhitch.systems.phases import Phase, system
 from burdockhitch.tables.requests import RequestRow, RequestState
@@ -53,6 +54,8 @@
 def admit_requests(world: World, now: Instant) -> None:
     """Apply the rate limits and the registered way of the route."""
     for row in world.requests.select("state", RequestState.ACCEPTED):
+        if refuse_hopeless(world, row, now):
+            continue
         if _is_within_limit(world, row, now):
             once_ways[row.once](world, row, now)
             continue
--- /dev/null
+++ b/burdockhitch/systems/deadlines.py
@@ -0,0 +1,35 @@
+"""Refuses early what can't be answered before its deadline."""
+
+import math
+
+from burdockhitch.clock import Instant
+from burdockhitch.errors import DeadlineTooShortError
+from burdockhitch.systems.endings import make_refusal, refuse_request
+from burdockhitch.systems.health import reference_latency_s
+from burdockhitch.tables.requests import RequestRow
+from burdockhitch.world import World
+
+REMAINING_MIN_S = 0.001
+MEDIAN_SHARE = 0.5
+
+
+def least_time_s(world: World, service: str) -> float:
+    """Return the time below which an answer is out of reach."""
+    median_s = reference_latency_s(world, service)
+    if math.isinf(median_s):
+        return REMAINING_MIN_S
+    return max(REMAINING_MIN_S, MEDIAN_SHARE * median_s)
+
+
+def refuse_hopeless(world: World, row: RequestRow, now: Instant) -> bool:
+    """Refuse a request that has not been sent if its time is too short.
+
+    Returns:
+        Whether it was refused.
+    """
+    remaining_s = row.deadline_s - now.monotonic_s
+    if remaining_s >= least_time_s(world, row.service):
+        return False
+    detail = f"{remaining_s * 1000:.1f} ms are left, and {row.service} takes longer"
+    refuse_request(world, row, make_refusal(DeadlineTooShortError, detail), now)
+    return True
--- a/burdockhitch/systems/dispatch.py
+++ b/burdockhitch/systems/dispatch.py
@@ -4,6 +4,7 @@
 from burdockhitch.clock import Instant
 from burdockhitch.errors import OverloadedError
 from burdockhitch.systems.capacity import free_slots, take_slot
+from burdockhitch.systems.deadlines import refuse_hopeless
 from burdockhitch.systems.endings import advance, make_refusal, refuse_request
 from burdockhitch.systems.health import weigh_server
 from burdockhitch.systems.phases import Phase, system
@@ -71,7 +72,7 @@
     queued = world.requests.select("state", RequestState.QUEUED)
     for row in sorted(queued, key=_order):
         slot = _choose_server(world, row)
-        if slot is not None:
+        if slot is not None and not refuse_hopeless(world, row, now):
             _dispatch(world, row, slot, now)
 
 
