Give idle permits back, follow a raised floor, and clear leftover probe timers

Causes: (1) an incarnation kept its permits for ever, so a server that failed after others had recovered elsewhere was never ejected; (2) a raised floor did not reach permits in use; (3) a probe timer of the last hold outlived the readmission and ended the next hold at once, so a server that fails whenever it is back was ejected twice per hold. Found by the new cases. Change: holders review their row every 5 s, give back what was idle for 30 s and what is above the budget, first locally and then in the row, so a lost write grants too little use, never too much; a denied ejection probes the ejected servers of the service early; timers end with the hold. Reports in pings are bounded to 16 services a message.

--- a/burdockhitch/systems/ejection.py
+++ b/burdockhitch/systems/ejection.py
@@ -70,9 +70,9 @@
 
 
 def _eject(world: World, row: HealthRow, now: Instant) -> None:
-    is_flapping = now.monotonic_s - row.changed_at_s < FLAP_MEMORY_S
+    is_flapping = now.monotonic_s - row.ejected_at_s < FLAP_MEMORY_S
     n_ejections = row.n_ejections + 1 if is_flapping else 1
-    row = row._replace(n_ejections=n_ejections)
+    row = row._replace(n_ejections=n_ejections, ejected_at_s=now.monotonic_s)
     change_state(world, row, "eject", now, row.cause)
     count(world, "ejections", "cause", row.cause)
     due_s = now.monotonic_s + _hold_s(world, n_ejections)
--- a/burdockhitch/systems/health.py
+++ b/burdockhitch/systems/health.py
@@ -23,6 +23,7 @@
     log_event,
     send,
     start_timer,
+    stop_timer,
     take_events,
 )
 
@@ -270,6 +271,8 @@
 def readmit_server(world: World, row: HealthRow, now: Instant) -> None:
     """Let an ejected server recover with one slot and half the evidence."""
     world.permit_uses.discard(row.server_id)
+    for kind in (TimerKind.HOLD, TimerKind.SERVER_PROBE):
+        stop_timer(world, kind, row.server_id)
     evidence = profile_of(world, row.service).threshold / 2
     row = row._replace(error_evidence=evidence, lateness_evidence=0.0, n_samples=0)
     change_state(world, row, "readmit", now)
--- a/burdockhitch/systems/membership.py
+++ b/burdockhitch/systems/membership.py
@@ -4,6 +4,8 @@
 Infection-style Process Group Membership Protocol", DSN 2002.
 """
 
+import math
+
 from burdockhitch import commands
 from burdockhitch.clock import Instant
 from burdockhitch.messages import (
@@ -45,6 +47,7 @@
 
 JOIN_PERIOD_S = 1.0
 RELAYS_MAX = 256
+REPORTS_PER_PING = 16
 
 
 def start_membership(world: World, now: Instant) -> None:
@@ -160,12 +163,20 @@
     )
 
 
+def _take_turns(services: list[str], sequence: int) -> list[str]:
+    """Return a bounded part of the services, another one each time."""
+    n_parts = max(1, math.ceil(len(services) / REPORTS_PER_PING))
+    start = sequence % n_parts * REPORTS_PER_PING
+    return services[start : start + REPORTS_PER_PING]
+
+
 def send_ping(world: World, vm_id: str, sequence: int) -> None:
     """Send a probe with what this VM knows."""
     own_id = world.local.vm_id
     services = {row.service for row in world.loads}
     services |= {row.service for row in world.capacities.select("vm_id", own_id)}
-    reports = tuple(_make_report(world, service) for service in sorted(services))
+    chosen = _take_turns(sorted(services), sequence)
+    reports = tuple(_make_report(world, service) for service in chosen)
     revision = current_revision(world)
     message = Ping(sequence, revision, take_digests(world), reports)
     send_message(world, vm_id, message)
--- a/burdockhitch/systems/permits.py
+++ b/burdockhitch/systems/permits.py
@@ -10,21 +10,26 @@
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
 from burdockhitch.errors import PlatformNotFoundError
-from burdockhitch.systems.timing import reply_handlers
+from burdockhitch.systems.health import probe_server, readmit_server
+from burdockhitch.systems.timing import reply_handlers, timer_handlers
 from burdockhitch.systems.windows import floor_slots
 from burdockhitch.tables.ejection_permits import PermitRow, PermitUseRow
-from burdockhitch.tables.health_signals import HealthRow
+from burdockhitch.tables.health_signals import HealthRow, ServerState
 from burdockhitch.tables.revisions import OperationRow
+from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import (
     World,
     count,
     current_revision,
     send,
     start_operation,
+    start_timer,
 )
 
 PERMITS_TABLE = "permits"
 ASK_PERIOD_S = 1.0
+REVIEW_PERIOD_S = 5.0
+IDLE_KEEP_S = 30.0
 LIST_AGE_MAX_S = 15.0
 LISTING_READ = ""
 
@@ -161,42 +166,143 @@
     _grant(world, service, document, version, now)
 
 
+def _refresh(
+    world: World, service: str, document: PermitDocument, now: Instant
+) -> PermitDocument:
+    """Return the row without gone grants and with the newest known budget."""
+    revision = current_revision(world)
+    n_budget_slots = budget_slots(world, service, now)
+    if revision < document["revision"]:
+        revision = document["revision"]
+        n_budget_slots = document["n_budget_slots"]
+    return PermitDocument(
+        revision=revision,
+        n_budget_slots=n_budget_slots,
+        grants=_live_grants(world, document, now),
+    )
+
+
+def count_granted(document: PermitDocument) -> int:
+    """Return the slots that all incarnations hold together."""
+    return sum(grant["n_slots"] for grant in document["grants"].values())
+
+
+def _own_grant(world: World, document: PermitDocument) -> int:
+    grant = document["grants"].get(world.local.home_token())
+    return grant["n_slots"] if grant else 0
+
+
 def _grant(
     world: World, service: str, document: PermitDocument, version: int, now: Instant
 ) -> None:
     permit = _permit(world, service)
-    token = world.local.home_token()
-    revision = current_revision(world)
-    if revision >= document["revision"]:
-        n_budget_slots = budget_slots(world, service, now)
-    else:
-        revision = document["revision"]
-        n_budget_slots = document["n_budget_slots"]
-    grants = _live_grants(world, document, now)
-    n_granted = grants[token]["n_slots"] if token in grants else 0
+    document = _refresh(world, service, document, now)
+    n_granted = _own_grant(world, document)
     if n_granted > permit.n_held_slots:
-        world.permits.replace(permit._replace(n_held_slots=n_granted))
+        _hold(world, permit, n_granted, now)
         _stop_asking(world, service)
         return
-    n_total = sum(grant["n_slots"] for grant in grants.values())
-    if n_total + permit.n_wanted_slots > n_budget_slots:
+    n_total = count_granted(document) + permit.n_wanted_slots
+    if n_total > document["n_budget_slots"]:
         count(world, "permits_denied", "service", service)
         _stop_asking(world, service)
+        _probe_ejected(world, service)
         return
-    operation_id = start_operation(world, "permit_write", service, now)
     n_slots = n_granted + permit.n_wanted_slots
-    grants[token] = GrantDocument(
+    _write_grant(world, service, document, version, n_slots, now)
+
+
+def _write_grant(
+    world: World,
+    service: str,
+    document: PermitDocument,
+    version: int,
+    n_slots: int,
+    now: Instant,
+) -> None:
+    operation_id = start_operation(world, "permit_write", service, now)
+    document["grants"][world.local.home_token()] = GrantDocument(
         n_slots=n_slots, operation_id=operation_id, was_listed=False
     )
-    value: Any = PermitDocument(
-        revision=revision, n_budget_slots=n_budget_slots, grants=grants
-    )
+    permit = _permit(world, service)
     world.permits.replace(permit._replace(operation_id=operation_id))
+    value: Any = document
     condition = commands.Condition(PERMITS_TABLE, service, version)
     write = commands.Write(PERMITS_TABLE, service, value)
     send(world, commands.RunTransaction(operation_id, (condition,), (write,)))
 
 
+def _hold(world: World, permit: PermitRow, n_slots: int, now: Instant) -> None:
+    world.permits.replace(permit._replace(n_held_slots=n_slots))
+    due_s = now.monotonic_s + REVIEW_PERIOD_S
+    start_timer(world, TimerKind.PERMIT, permit.service, due_s)
+
+
+def _probe_ejected(world: World, service: str) -> None:
+    """End holds early that stand in the way of a more certain ejection."""
+    for row in world.health_signals.select("state", ServerState.EJECTED):
+        if row.service == service:
+            probe_server(world, row.server_id)
+
+
+@timer_handlers(TimerKind.PERMIT)
+def review_permit(world: World, service: str, now: Instant) -> None:
+    """Read the row to give back what is idle or above a smaller budget."""
+    permit = _permit(world, service)
+    if not permit.n_held_slots:
+        return
+    due_s = now.monotonic_s + REVIEW_PERIOD_S
+    start_timer(world, TimerKind.PERMIT, service, due_s)
+    if permit.operation_id:
+        return
+    operation_id = start_operation(world, "permit_review", service, now)
+    world.permits.replace(permit._replace(operation_id=operation_id, n_wanted_slots=0))
+    send(world, commands.ReadRow(operation_id, PERMITS_TABLE, service))
+
+
+@reply_handlers("permit_review")
+def take_permit_review(
+    world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
+) -> None:
+    """Give back idle slots, and used ones if the budget has shrunk.
+
+    What is given back is not used any more before the platform is told; a lost
+    write leaves too much granted, never too little.
+    """
+    service = operation.subject
+    permit = _permit(world, service)
+    if event.error is not None:
+        _stop_asking(world, service)
+        return
+    document = _refresh(world, service, event.document["value"], now)
+    n_surplus = count_granted(document) - document["n_budget_slots"]
+    n_idle = permit.n_held_slots - count_used(world, service)
+    if now.monotonic_s - permit.asked_at_s < IDLE_KEEP_S:
+        n_idle = 0
+    n_back = min(permit.n_held_slots, max(n_idle, n_surplus, 0))
+    n_kept = permit.n_held_slots - n_back
+    _readmit_above(world, service, n_kept, now)
+    n_kept = max(n_kept, count_used(world, service))
+    if n_kept == _own_grant(world, document):
+        _stop_asking(world, service)
+        return
+    world.permits.replace(permit._replace(n_held_slots=n_kept))
+    version = event.document["version"]
+    _write_grant(world, service, document, version, n_kept, now)
+
+
+def _readmit_above(world: World, service: str, n_slots: int, now: Instant) -> None:
+    """Readmit the least suspect servers until a number of slots is enough."""
+    uses = world.permit_uses.select("service", service)
+    rows = [world.health_signals.get(use.server_id) for use in uses]
+    ejected = [row for row in rows if row and row.state is ServerState.EJECTED]
+    ejected.sort(key=lambda row: (row.n_ejections, row.error_evidence))
+    for row in ejected:
+        if count_used(world, service) <= n_slots:
+            return
+        readmit_server(world, row, now)
+
+
 @reply_handlers("permit_write")
 def take_permit_write(
     world: World, operation: OperationRow, event: events.PlatformReplied, now: Instant
@@ -205,8 +311,7 @@
     service = operation.subject
     permit = _permit(world, service)
     if event.error is None:
-        n_held_slots = permit.n_held_slots + permit.n_wanted_slots
-        world.permits.replace(permit._replace(n_held_slots=n_held_slots))
+        _hold(world, permit, permit.n_held_slots + permit.n_wanted_slots, now)
     else:
         count(world, "permit_writes_failed", "service", service)
     _stop_asking(world, service)
--- a/burdockhitch/tables/health_signals.py
+++ b/burdockhitch/tables/health_signals.py
@@ -30,6 +30,7 @@
         n_ejections: Ejections within the memory for flapping.
         cause: What the evidence is about, empty when healthy.
         changed_at_s: Monotonic time of the last change of state.
+        ejected_at_s: Monotonic time of the last ejection, 0 before the first.
     """
 
     server_id: str
@@ -42,6 +43,7 @@
     n_ejections: int
     cause: str
     changed_at_s: float
+    ejected_at_s: float = 0.0
 
 
 def make_health_signals() -> Table[HealthRow]:
--- a/burdockhitch/tests/scenarios.py
+++ b/burdockhitch/tests/scenarios.py
@@ -15,11 +15,14 @@
     answers,
     claims,
     draining,
+    ejection,
     endings,
     forwards,
+    health,
     home,
     membership,
     ownership,
+    permits,
     spread,
     witness,
 )
@@ -453,3 +456,131 @@
         command.event == "vm_changed" and command.fields["after"] == "suspect"
         for _vm_id, command in fleet.logs
     )
+
+
+def _load(fleet: FakeFleet, duration_s: float, step_s: float = 0.02) -> None:
+    names = sorted(fleet.worlds)
+    for step in range(int(duration_s / step_s)):
+        fleet.call(names[step % len(names)], "GET", "/look")
+        fleet.run(step_s)
+
+
+def _count_ejections(fleet: FakeFleet, address: str) -> int:
+    return sum(
+        command.event == "server_changed"
+        and command.fields["after"] == "ejected"
+        and command.fields["server"].endswith(address)
+        for _vm_id, command in fleet.logs
+    )
+
+
+@case(
+    "permit_returned",
+    "detection time",
+    "a server fails after others held the permits and recovered",
+    LeaveOut(permits, "IDLE_KEEP_S", 1e9),
+)
+def idle_permits_come_back() -> int:
+    fleet = fleets.start_fleet(SUDURLAND)
+    for number in range(3):
+        address = f"10.1.{number}.1:80"
+        fleet.servers[address].mode = "failing"
+        _load(fleet, 4.0)
+        fleet.servers[address].mode = "ok"
+        _load(fleet, 10.0)
+    fleet.run(60.0)
+    fleet.servers["10.1.3.1:80"].mode = "failing"
+    _load(fleet, 6.0)
+    return int(_count_ejections(fleet, "10.1.3.1:80") == 0)
+
+
+@case(
+    "floor_raised",
+    "floor",
+    "the rules raise the floor while servers are ejected",
+    LeaveOut(permits, "REVIEW_PERIOD_S", 1e9),
+)
+def raised_floor_brings_servers_back() -> int:
+    fleet = fleets.start_fleet(SUDURLAND)
+    for number in range(3):
+        fleet.servers[f"10.1.{number}.1:80"].mode = "failing"
+    _load(fleet, 4.0)
+    assert fleets.ejected_slots(fleet, "bench") == 6
+    fleet.commit_rules(fleets.write_rules(SUDURLAND, floor_slots=14))
+    for server in fleet.servers.values():
+        server.mode = "ok"
+    for world in fleet.worlds.values():
+        for row in list(world.timers):
+            if row.timer_id[0] == "hold":
+                world.timers.remove(row.timer_id)
+    fleet.run(12.0)
+    n_left = fleets.total_slots(fleet) - fleets.ejected_slots(fleet, "bench")
+    return max(0, 14 - n_left)
+
+
+@case(
+    "long_outage",
+    "detection time",
+    "a server fails in the fourth hour of an outage of the platform",
+    LeaveOut(permits, "use_permit", _always(False)),
+    LeaveOut(ejection, "use_permit", _always(False)),
+)
+def held_permits_serve_in_an_outage() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    address = "10.1.0.1:80"
+    fleet.servers[address].mode = "failing"
+    _load(fleet, 4.0)
+    fleet.is_platform_down = True
+    fleet.servers[address].mode = "ok"
+    _load(fleet, 15.0)
+    fleet.run(4 * 3600.0)
+    before = _count_ejections(fleet, address)
+    fleet.servers[address].mode = "failing"
+    _load(fleet, 10.0)
+    fleet.run(3.0)
+    n_unanswered = len(fleet.sent.keys() - fleet.replies.keys())
+    return int(_count_ejections(fleet, address) == before) + n_unanswered
+
+
+@case(
+    "straggler",
+    "detection time",
+    "a server takes three times as long as its peers",
+    LeaveOut(health, "_is_late", _always(False)),
+)
+def straggler_is_ejected() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    _load(fleet, 5.0)
+    address = "10.1.0.1:80"
+    fleet.servers[address].service_time_s *= 3
+    _load(fleet, 10.0)
+    return int(_count_ejections(fleet, address) == 0)
+
+
+@case(
+    "common_trouble",
+    "false ejections",
+    "all servers of a service fail at once",
+    LeaveOut(ejection, "is_common_trouble", _always(False)),
+)
+def trouble_of_all_ejects_few() -> int:
+    fleet = fleets.start_fleet(VASTKUST, extra="")
+    for server in fleet.servers.values():
+        server.mode = "failing"
+    _load(fleet, 20.0)
+    n_ejected = sum(_count_ejections(fleet, address) > 0 for address in fleet.servers)
+    return max(0, n_ejected - len(fleet.servers) // 2)
+
+
+@case(
+    "flapping",
+    "false ejections",
+    "a server fails whenever it is back in service",
+    LeaveOut(ejection, "_hold_s", _always(5.0)),
+)
+def flapping_server_is_held_longer() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    address = "10.1.0.1:80"
+    fleet.servers[address].mode = "failing"
+    _load(fleet, 120.0, 0.05)
+    return max(0, _count_ejections(fleet, address) - 6)
