Serve a revision only once it is confirmed as the newest known

Cause: a VM that started while the platform was down served whatever the first peer had; beside a stale VM that was an older revision than the fleet's. Change: a VM serves after the platform, or three VMs (all known ones if fewer, dead ones counted as unheard), knew of nothing newer; until then it refuses as not run. VMs that start at once with no platform and no revision refuse (3 of 3).

--- a/burdockhitch/systems/configuration.py
+++ b/burdockhitch/systems/configuration.py
@@ -10,6 +10,7 @@
 from burdockhitch.clock import Instant
 from burdockhitch.errors import PlatformNotFoundError
 from burdockhitch.rules.document import hash_rules
+from burdockhitch.systems.confirmation import PLATFORM, confirm
 from burdockhitch.systems.membership import join_seeds
 from burdockhitch.systems.ownership import hash_score
 from burdockhitch.systems.permits import LISTING_READ
@@ -121,6 +122,7 @@
     if event.error is not None:
         return
     head: HeadDocument = event.document["value"]
+    confirm(world, PLATFORM, head["number"])
     if head["number"] <= current_revision(world):
         return
     subject = f"{head['number']} {head['body_hash']}"
@@ -141,6 +143,7 @@
         count(world, "revisions_dropped", "reason", "hash")
         return
     apply_revision(world, int(number), event.document, now)
+    confirm(world, PLATFORM, int(number))
 
 
 @timer_handlers(TimerKind.VM_LIST_READ)
--- /dev/null
+++ b/burdockhitch/systems/confirmation.py
@@ -0,0 +1,47 @@
+"""Keeps a starting VM from serving a revision that may be old.
+
+A VM serves once the platform, or several VMs, knew of no newer revision than
+the one it holds. VMs that are dead in its view count as unheard: they may be on
+the other side of a partition, and know better.
+"""
+
+from burdockhitch.tables.revisions import ConfirmationRow
+from burdockhitch.tables.vms import VmStatus
+from burdockhitch.world import World, current_revision, log_event
+
+N_PEERS = 3
+PLATFORM = "platform"
+CONFIRMED = "confirmed"
+
+
+def is_confirmed(world: World) -> bool:
+    """Return whether the revision in force may be served."""
+    return CONFIRMED in world.confirmations
+
+
+def confirm(world: World, source: str, number: int) -> None:
+    """Note the newest revision that the platform or a VM knows of.
+
+    Args:
+        world: Tables of this VM.
+        source: Name of the VM, or ``PLATFORM``.
+        number: Revision that it knows, 0 for none.
+    """
+    current = current_revision(world)
+    if is_confirmed(world) or not current or number > current:
+        return
+    if number or source == PLATFORM:
+        world.confirmations.put(ConfirmationRow(source))
+    if PLATFORM in world.confirmations or _has_enough_peers(world):
+        world.confirmations.put(ConfirmationRow(CONFIRMED))
+        log_event(world, "INFO", "revision_confirmed", revision=current)
+
+
+def _has_enough_peers(world: World) -> bool:
+    known = [
+        vm.vm_id
+        for vm in world.vms
+        if vm.vm_id != world.local.vm_id and vm.status is not VmStatus.LEAVING
+    ]
+    n_needed = min(N_PEERS, len(known))
+    return n_needed > 0 and len(world.confirmations) >= n_needed
--- a/burdockhitch/systems/intake.py
+++ b/burdockhitch/systems/intake.py
@@ -7,6 +7,7 @@
     RequestRefusedError,
     RouteNotFoundError,
 )
+from burdockhitch.systems.confirmation import is_confirmed
 from burdockhitch.systems.endings import abandon_request, make_refusal
 from burdockhitch.systems.phases import Phase, system
 from burdockhitch.systems.windows import count_arrival
@@ -16,7 +17,6 @@
 from burdockhitch.world import (
     World,
     count,
-    current_revision,
     next_sequence,
     send,
     start_timer,
@@ -50,8 +50,8 @@
     sequence = next_sequence(world, "request")
     request_id = f"{world.local.vm_id}:{world.local.incarnation}:{sequence}"
     request = event.request
-    if not current_revision(world):
-        detail = "this VM has no configuration yet"
+    if not is_confirmed(world):
+        detail = "this VM does not know yet that its configuration is the newest"
         _refuse_arrival(world, event, request_id, NotReadyError, detail)
         return
     route = match_route(world, request.method, request.path)
--- a/burdockhitch/systems/spread.py
+++ b/burdockhitch/systems/spread.py
@@ -8,6 +8,7 @@
 from burdockhitch.errors import RulesFileError
 from burdockhitch.messages import RevisionPull, RevisionPush
 from burdockhitch.rules.document import RulesDocument, hash_rules, parse_rules
+from burdockhitch.systems.confirmation import confirm
 from burdockhitch.systems.gossip import choose_peers
 from burdockhitch.systems.timing import message_handlers
 from burdockhitch.tables.revisions import RevisionRow
@@ -28,6 +29,7 @@
 
 def note_revision(world: World, vm_id: str, number: int) -> None:
     """Exchange revisions with a VM that has another one."""
+    confirm(world, vm_id, number)
     current = current_revision(world)
     if number > current:
         send_message(world, vm_id, RevisionPull(current))
--- a/burdockhitch/tables/revisions.py
+++ b/burdockhitch/tables/revisions.py
@@ -23,6 +23,16 @@
     applied_at_s: float
 
 
+class ConfirmationRow(NamedTuple):
+    """Somebody who knew of no newer revision than the one in force here.
+
+    Attributes:
+        source: Name of a VM, ``platform``, or ``confirmed`` once it is enough.
+    """
+
+    source: str
+
+
 class OperationRow(NamedTuple):
     """An operation on the platform that has not been answered.
 
@@ -145,6 +155,11 @@
     return Table(RevisionRow, key="slot")
 
 
+def make_confirmations() -> Table[ConfirmationRow]:
+    """Return an empty table of confirmations."""
+    return Table(ConfirmationRow, key="source")
+
+
 def make_operations() -> Table[OperationRow]:
     """Return an empty table of operations."""
     return Table(OperationRow, key="operation_id", indexes=("purpose",))
--- a/burdockhitch/tests/scenarios.py
+++ b/burdockhitch/tests/scenarios.py
@@ -14,12 +14,14 @@
     addresses,
     answers,
     claims,
+    confirmation,
     draining,
     ejection,
     endings,
     forwards,
     health,
     home,
+    intake,
     membership,
     ownership,
     permits,
@@ -584,3 +586,59 @@
     fleet.servers[address].mode = "failing"
     _load(fleet, 120.0, 0.05)
     return max(0, _count_ejections(fleet, address) - 6)
+
+
+def _commit_seen_by_some(fleet: FakeFleet, outsider: str) -> None:
+    """Put revision 2 in force everywhere but on one cut-off VM."""
+    others = set(fleet.worlds) - {outsider}
+    for name in others:
+        fleet.cuts |= {(name, outsider), (outsider, name)}
+    extra = "limit visitor rate=5/s burst=9 # Karin\n"
+    fleet.commit_rules(fleets.write_rules(VASTKUST, extra=extra))
+    while not any(current_revision(fleet.worlds[name]) == 2 for name in others):
+        fleet.run(0.001)
+    fleet.is_platform_down = True
+    fleet.run(10.0)
+    assert current_revision(fleet.worlds[outsider]) == 1
+
+
+@case(
+    "start_beside_stale",
+    "a configuration never reverts",
+    "a VM starts in an outage and reaches only a VM with an older revision",
+    LeaveOut(confirmation, "N_PEERS", 1),
+)
+def starting_vm_serves_nothing_old() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    _commit_seen_by_some(fleet, "vk-c-0")
+    for name in ("vk-a-0", "vk-b-0"):
+        fleet.cuts |= {(name, "vk-c-9"), ("vk-c-9", name)}
+    fleet.add_vm("vk-c-9", "vk-c")
+    n_old = 0
+    for _ in range(20):
+        fleet.run(0.5)
+        number = fleet.call("vk-c-9", "GET", "/look")
+        fleet.run(0.2)
+        n_old += hasattr(fleet.replies[number].command, "answer")
+    return n_old
+
+
+@case(
+    "start_alone",
+    "a configuration never reverts",
+    "VMs start at once in an outage, and none has a revision",
+    LeaveOut(intake, "is_confirmed", _always(True)),
+)
+def fleet_without_revision_refuses() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    names = sorted(fleet.worlds)
+    fleet.is_platform_down = True
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.add_vm(name, name.rpartition("-")[0])
+    fleet.run(5.0)
+    numbers = [fleet.call(name, "GET", "/look") for name in names]
+    fleet.run(0.5)
+    refusals = [fleet.replies[number].command.refusal.error for number in numbers]
+    return sum(error != "NotReady" for error in refusals)
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -78,6 +78,7 @@
     lost: Table[requests.LostRow]
     timers: Table[timers.TimerRow]
     revisions: Table[revisions.RevisionRow]
+    confirmations: Table[revisions.ConfirmationRow]
     operations: Table[revisions.OperationRow]
     probes: Table[revisions.ProbeRow]
     relays: Table[revisions.RelayRow]
@@ -136,6 +137,7 @@
         lost=requests.make_lost(),
         timers=timers.make_timers(),
         revisions=revisions.make_revisions(),
+        confirmations=revisions.make_confirmations(),
         operations=revisions.make_operations(),
         probes=revisions.make_probes(),
         relays=revisions.make_relays(),
