Spread revisions as deltas, and survive unusable messages and failed ticks

Change: a change travels as one replaced part with the hashes of both texts, a VM without the parent asks for the whole; unusable messages are counted and dropped; a failed tick is logged with its trace, its commands still go out and the timers go on.

--- a/burdockhitch/adapters/loop.py
+++ b/burdockhitch/adapters/loop.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from loguru import logger
+
 from burdockhitch.systems.phases import run_tick
-from burdockhitch.world import World, post_event
+from burdockhitch.world import World, count, post_event
 
 
 class Ticker:
@@ -38,7 +40,11 @@
 
     def _tick(self) -> None:
         self._is_requested = False
-        run_tick(self._world)
+        try:
+            run_tick(self._world)
+        except Exception:
+            logger.exception("tick_failed")
+            count(self._world, "ticks_failed")
         self._flush()
         if len(self._world.inbox):
             self.request_tick()
--- a/burdockhitch/log.py
+++ b/burdockhitch/log.py
@@ -1,6 +1,7 @@
 """Structured lines on standard error, written by loguru."""
 
 import sys
+import traceback
 from typing import Any
 
 import msgspec
@@ -15,6 +16,8 @@
         "event": record["message"],
         **record["extra"],
     }
+    if record["exception"] is not None:
+        line["traceback"] = "".join(traceback.format_exception(record["exception"][1]))
     sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode() + "\n")
 
 
--- a/burdockhitch/messages.py
+++ b/burdockhitch/messages.py
@@ -259,6 +259,27 @@
     text: bytes
 
 
+@vm_messages("revision_delta")
+class RevisionDelta(NamedTuple):
+    """A revision as one replaced part of the one before.
+
+    Attributes:
+        number: Number of the revision.
+        parent_hash: Hash of the text that it changes.
+        body_hash: Hash of the text that it makes.
+        start: First byte of the replaced part.
+        end: Byte after the replaced part.
+        middle: Text in its place, compressed.
+    """
+
+    number: int
+    parent_hash: str
+    body_hash: str
+    start: int
+    end: int
+    middle: bytes
+
+
 class OpenRequest(NamedTuple):
     """A non-idempotent request that its VM has open.
 
--- a/burdockhitch/systems/spread.py
+++ b/burdockhitch/systems/spread.py
@@ -1,12 +1,13 @@
 """Passes revisions of the configuration from VM to VM, never backwards."""
 
+import os.path
 import zlib
 from typing import Any
 
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
-from burdockhitch.errors import RulesFileError
-from burdockhitch.messages import RevisionPull, RevisionPush
+from burdockhitch.errors import MessageFormatError, RulesFileError
+from burdockhitch.messages import RevisionDelta, RevisionPull, RevisionPush
 from burdockhitch.rules.document import RulesDocument, hash_rules, parse_rules
 from burdockhitch.systems.confirmation import confirm
 from burdockhitch.systems.gossip import choose_peers
@@ -63,12 +64,59 @@
     if not is_newer(world, message.number):
         count(world, "revisions_dropped", "reason", "old")
         return
-    decompressor = zlib.decompressobj()
-    body = decompressor.decompress(message.text, TEXT_MAX_BYTES)
-    if hash_rules(body) != message.body_hash:
+    body = _decompress(message.text)
+    _take_text(world, message.number, message.body_hash, body, now)
+
+
+def _take_text(
+    world: World, number: int, body_hash: str, body: bytes, now: Instant
+) -> None:
+    if hash_rules(body) == body_hash:
+        apply_revision(world, number, body, now)
+    else:
         count(world, "revisions_dropped", "reason", "hash")
-        return
-    apply_revision(world, message.number, body, now)
+
+
+@message_handlers("revision_delta")
+def take_delta(world: World, sender: str, message: RevisionDelta, now: Instant) -> None:
+    """Take over a newer revision that changes the one in force."""
+    row = world.revisions.get(IN_FORCE)
+    if not is_newer(world, message.number):
+        count(world, "revisions_dropped", "reason", "old")
+    elif row is None or row.body_hash != message.parent_hash:
+        send_message(world, sender, RevisionPull(current_revision(world)))
+    else:
+        body = merge_delta(_decompress(row.text), message)
+        _take_text(world, message.number, message.body_hash, body, now)
+
+
+def _decompress(text: bytes) -> bytes:
+    try:
+        return zlib.decompressobj().decompress(text, TEXT_MAX_BYTES)
+    except zlib.error as error:
+        raise MessageFormatError(str(error)) from None
+
+
+def merge_delta(parent: bytes, delta: RevisionDelta) -> bytes:
+    """Return the text that a delta makes of its parent."""
+    middle = _decompress(delta.middle)
+    return parent[: delta.start] + middle + parent[delta.end :]
+
+
+def make_delta(number: int, parent: bytes, body: bytes) -> RevisionDelta:
+    """Return the part of a text that differs from its parent."""
+    start = len(os.path.commonprefix([parent, body]))
+    rest = min(len(parent), len(body)) - start
+    tails = [parent[len(parent) - rest :][::-1], body[len(body) - rest :][::-1]]
+    n_same = len(os.path.commonprefix(tails))
+    return RevisionDelta(
+        number=number,
+        parent_hash=hash_rules(parent),
+        body_hash=hash_rules(body),
+        start=start,
+        end=len(parent) - n_same,
+        middle=zlib.compress(body[start : len(body) - n_same]),
+    )
 
 
 def _replace_rows(table: Table[Any], rows: tuple[Any, ...]) -> None:
@@ -110,13 +158,18 @@
         )
         count(world, "revisions_dropped", "reason", "unusable")
         return False
+    old = world.revisions.get(IN_FORCE)
     _store_document(world, document)
     text = zlib.compress(body)
     row = RevisionRow(IN_FORCE, number, hash_rules(body), text, now.monotonic_s)
     world.revisions.put(row)
     log_event(world, "INFO", "revision_in_force", revision=number)
     post_event(world, events.RevisionApplied(number))
-    for peer in choose_peers(world, world.settings.membership.fanout):
+    message: RevisionPush | RevisionDelta
+    if old is None:
         message = RevisionPush(number, row.body_hash, text)
+    else:
+        message = make_delta(number, _decompress(old.text), body)
+    for peer in choose_peers(world, world.settings.membership.fanout):
         send(world, commands.SendMessage(peer.vm_id, peer.message_address, message))
     return True
--- a/burdockhitch/systems/timing.py
+++ b/burdockhitch/systems/timing.py
@@ -5,6 +5,7 @@
 
 from burdockhitch import events
 from burdockhitch.clock import Instant
+from burdockhitch.errors import MessageError, error_name
 from burdockhitch.messages import vm_messages
 from burdockhitch.registry import Registry
 from burdockhitch.systems.phases import Phase, system
@@ -42,7 +43,10 @@
         stop_timer(world, TimerKind.SILENCE, event.sender_vm_id)
         stop_timer(world, TimerKind.UNREACHABLE, event.sender_vm_id)
         kind = KIND_BY_MESSAGE_TYPE[type(event.message)]
-        message_handlers[kind](world, event.sender_vm_id, event.message, now)
+        try:
+            message_handlers[kind](world, event.sender_vm_id, event.message, now)
+        except MessageError as error:
+            count(world, "messages_dropped", "reason", error_name(error))
 
 
 @system(Phase.MESSAGES)
--- /dev/null
+++ b/burdockhitch/tests/test_loop.py
@@ -0,0 +1,51 @@
+import pytest
+from twisted.internet.task import Clock as TwistedClock
+
+from burdockhitch import commands, events
+from burdockhitch.adapters.loop import Ticker
+from burdockhitch.systems import phases
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tests.fakes import FakeFleet
+from burdockhitch.world import log_event, start_timer
+
+
+def make_ticker(monkeypatch, run_tick):
+    world = FakeFleet().add_vm("a1", "a")
+    world.timers.clear()
+    reactor = TwistedClock()
+    delivered = []
+    monkeypatch.setattr("burdockhitch.adapters.loop.run_tick", run_tick)
+    ticker = Ticker(world, reactor, lambda kind, command: delivered.append(command))
+    return world, reactor, ticker, delivered
+
+
+def fail(world):
+    log_event(world, "INFO", "before")
+    raise ZeroDivisionError
+
+
+@pytest.mark.parametrize(
+    ("n_events", "n_ticks"), [(0, 0), (1, 1), (5, 1)], ids=["idle", "one", "coalesced"]
+)
+def test_ticks_run_on_demand_only(monkeypatch, n_events, n_ticks):
+    ticks = []
+    world, reactor, ticker, _ = make_ticker(
+        monkeypatch, lambda world: (ticks.append(1), world.inbox.clear())
+    )
+    for _ in range(n_events):
+        ticker.post(events.StopRequested())
+    reactor.advance(10.0)
+    assert len(ticks) == n_ticks
+
+
+@pytest.mark.parametrize("run_tick", [phases.run_tick, fail])
+def test_a_failed_tick_neither_loses_commands_nor_stops_the_timers(
+    monkeypatch, run_tick
+):
+    world, reactor, ticker, delivered = make_ticker(monkeypatch, run_tick)
+    start_timer(world, TimerKind.MEASURE, "", world.clock.now().monotonic_s + 3.0)
+    log_event(world, "INFO", "waiting")
+    ticker.request_tick()
+    reactor.advance(0.0)
+    assert commands.LogEvent("INFO", "waiting", {}) in delivered
+    assert [call.getTime() for call in reactor.getDelayedCalls()] == [3.0]
--- /dev/null
+++ b/burdockhitch/tests/test_spread.py
@@ -0,0 +1,73 @@
+import pytest
+
+from burdockhitch import events
+from burdockhitch.messages import RevisionDelta, RevisionPush
+from burdockhitch.rules.document import hash_rules
+from burdockhitch.systems.spread import make_delta, merge_delta
+from burdockhitch.tests import fleets
+from burdockhitch.tests.fleets import VASTKUST
+from burdockhitch.world import current_revision
+
+RULES = fleets.write_rules(VASTKUST).encode()
+NEXT = RULES + b"limit visitor rate=5/s burst=9 # Karin\n"
+DELTA = make_delta(2, RULES, NEXT)
+
+
+@pytest.mark.parametrize(
+    ("parent", "body", "n_replaced"),
+    [
+        (b"", b"abc", 0),
+        (b"abc", b"abc", 0),
+        (b"abc", b"", 3),
+        (b"aaaa", b"aa", 2),
+        (b"aa", b"aaaa", 0),
+        (b"one two three", b"one 2 three", 3),
+        (b"head tail", b"tail", 5),
+    ],
+)
+def test_deltas_replace_one_part(parent, body, n_replaced):
+    delta = make_delta(2, parent, body)
+    assert delta.end - delta.start == n_replaced
+    assert merge_delta(parent, delta) == body
+
+
+@pytest.mark.parametrize(
+    ("message", "number"),
+    [
+        (DELTA, 2),
+        (DELTA._replace(number=1), 1),
+        (DELTA._replace(parent_hash="other"), 1),
+        (DELTA._replace(body_hash="other"), 1),
+        (DELTA._replace(start=3, end=5), 1),
+        (RevisionPush(2, hash_rules(NEXT), b"\0"), 1),
+        (RevisionPush(2, hash_rules(NEXT), b"not compressed"), 1),
+        (make_delta(2, RULES, b"nonsense"), 1),
+    ],
+    ids=[
+        "good",
+        "old",
+        "other parent",
+        "wrong hash",
+        "damaged",
+        "no text",
+        "garbage",
+        "unusable",
+    ],
+)
+def test_only_newer_whole_usable_revisions_are_taken(message, number):
+    fleet = fleets.start_fleet(VASTKUST)
+    fleet.cuts = {(a, b) for a in fleet.worlds for b in fleet.worlds if a != b}
+    fleet.post("vk-a-0", events.VmMessageArrived("vk-b-0", message))
+    fleet.run(0.5)
+    assert current_revision(fleet.worlds["vk-a-0"]) == number
+
+
+def test_changes_travel_as_deltas():
+    fleet = fleets.start_fleet(VASTKUST)
+    fleet.commit_rules(NEXT.decode())
+    fleet.arrived.clear()
+    fleet.run(3.0)
+    kinds = {type(event.message) for _vm_id, event in fleet.arrived}
+    assert RevisionDelta in kinds
+    assert RevisionPush not in kinds
+    assert {current_revision(world) for world in fleet.worlds.values()} == {2}
