--- a/burdockhitch/systems/spread.py
+++ b/burdockhitch/systems/spread.py
@@ -25,6 +25,7 @@
 )
 
 IN_FORCE = "in_force"
+COMPARED_BYTES = 4096
 TEXT_MAX_BYTES = 64 * 1024 * 1024
 
 
@@ -103,12 +104,24 @@
     return parent[: delta.start] + middle + parent[delta.end :]
 
 
+def count_common(one: bytes, other: bytes) -> int:
+    """Return the length of the common beginning of two texts."""
+    start = 0
+    while start < min(len(one), len(other)):
+        end = start + COMPARED_BYTES
+        parts = [one[start:end], other[start:end]]
+        if parts[0] != parts[1]:
+            return start + len(os.path.commonprefix(parts))
+        start = end
+    return min(len(one), len(other))
+
+
 def make_delta(number: int, parent: bytes, body: bytes) -> RevisionDelta:
     """Return the part of a text that differs from its parent."""
-    start = len(os.path.commonprefix([parent, body]))
+    start = count_common(parent, body)
     rest = min(len(parent), len(body)) - start
     tails = [parent[len(parent) - rest :][::-1], body[len(body) - rest :][::-1]]
-    n_same = len(os.path.commonprefix(tails))
+    n_same = count_common(*tails)
     return RevisionDelta(
         number=number,
         parent_hash=hash_rules(parent),
