Measure seconds to ejection and the moved peak in whole fleets

Change: a benchmark of both deployments at today's numbers of servers, 12 VMs, 1% of all answers errors throughout; a case for a peak outside its window's hours. Conclusion: the detector needs few requests, but a server among 30 gets one or two a second: the seconds are spent waiting for work to judge by.

--- /dev/null
+++ b/benchmarks/ejection.py
@@ -0,0 +1,72 @@
+"""Seconds to ejection and false ejections in fleets of today's sizes."""
+
+import statistics
+from collections.abc import Iterator
+
+from benchmarks.results import Result, benchmarks
+from burdockhitch.tests import fleets
+from burdockhitch.tests.fakes import FakeFleet
+from burdockhitch.tests.fleets import Deployment
+
+VASTKUST = Deployment("booking", ("a", "b", "c"), 4, 10, 4, 80, "detection_first")
+SUDURLAND = Deployment(
+    "bench", ("a", "b", "c", "d"), 3, 8, 2, 44, "few_false_ejections"
+)
+LOADS_PER_S = {"vastkust": (VASTKUST, 60.0), "sudurland": (SUDURLAND, 30.0)}
+NOISE_RATIO = 0.01
+WARM_UP_S = 10.0
+TIMEOUT_S = 240.0
+SEEDS = range(5)
+VICTIM = "10.1.0.1:80"
+FAULTS = {
+    "20% failing": (0.2, 1.0),
+    "50% failing": (0.5, 1.0),
+    "100% failing": (1.0, 1.0),
+    "2x slower": (NOISE_RATIO, 2.0),
+    "5x slower": (NOISE_RATIO, 5.0),
+}
+
+
+def ejected_servers(fleet: FakeFleet) -> list[str]:
+    """Return the addresses of all ejections so far."""
+    return [
+        command.fields["server"].partition("/")[2]
+        for _vm_id, command in fleet.logs
+        if command.event == "server_changed" and command.fields["after"] == "ejected"
+    ]
+
+
+def _load(fleet: FakeFleet, rate_per_s: float, duration_s: float) -> float:
+    """Send look-ups until the victim is ejected; return the seconds."""
+    names = sorted(fleet.worlds)
+    started_s = fleet.clock.elapsed_s
+    while fleet.clock.elapsed_s - started_s < duration_s:
+        fleet.call(fleet.rng.choice(names), "GET", "/look")
+        fleet.run(fleet.rng.expovariate(rate_per_s))
+        if VICTIM in ejected_servers(fleet):
+            break
+    return fleet.clock.elapsed_s - started_s
+
+
+@benchmarks("ejection")
+def measure_ejection() -> Iterator[Result]:
+    """Measure both deployments, 1% of all answers being errors throughout."""
+    for name, (deployment, rate_per_s) in LOADS_PER_S.items():
+        n_requests = n_false = 0
+        for fault, (error_ratio, slowdown) in FAULTS.items():
+            values = []
+            for seed in SEEDS:
+                fleet = fleets.start_fleet(deployment, seed)
+                for server in fleet.servers.values():
+                    server.error_ratio = NOISE_RATIO
+                _load(fleet, rate_per_s, WARM_UP_S)
+                victim = fleet.servers[VICTIM]
+                victim.error_ratio = error_ratio
+                victim.service_time_s *= slowdown
+                values.append(_load(fleet, rate_per_s, TIMEOUT_S))
+                n_requests += len(fleet.sent)
+                n_false += sum(a != VICTIM for a in ejected_servers(fleet))
+            case = f"{name} at {rate_per_s:.0f}/s, {fault}"
+            yield Result("ejection", case, statistics.mean(values), "s")
+        case = f"{name}, false ejections in {n_requests} requests"
+        yield Result("ejection", case, n_false, "ejections", "0")
--- a/burdockhitch/tests/fakes.py
+++ b/burdockhitch/tests/fakes.py
@@ -78,6 +78,7 @@
         self.n_slots = n_slots
         self.mode = "ok"
         self.service_time_s = SERVICE_TIME_S
+        self.error_ratio = 0.0
         self.running: dict[tuple[str, int, int], None] = {}
 
 
@@ -361,7 +362,10 @@
 ) -> None:
     if server.running.pop(slot, 0) == 0:
         return
-    event = server_modes[server.mode](command)
+    mode = server.mode
+    if server.error_ratio and fleet.rng.random() < server.error_ratio:
+        mode = "failing"
+    event = server_modes[mode](command)
     if event is not None:
         fleet.post_to(world, event, CONNECT_DELAY_S)
 
--- a/burdockhitch/tests/scenarios.py
+++ b/burdockhitch/tests/scenarios.py
@@ -26,6 +26,7 @@
     ownership,
     permits,
     spread,
+    windows,
     witness,
 )
 from burdockhitch.tests import fleets
@@ -642,3 +643,24 @@
     fleet.run(0.5)
     refusals = [fleet.replies[number].command.refusal.error for number in numbers]
     return sum(error != "NotReady" for error in refusals)
+
+
+@case(
+    "peak_moved",
+    "floor",
+    "the peak comes outside the hours of its window while servers are ejected",
+    LeaveOut(windows, "decide_by_load", windows.decide_by_hours),
+    LeaveOut(
+        windows.window_policies, "_entries", {"hours_or_load": windows.decide_by_hours}
+    ),
+)
+def moved_peak_raises_the_floor() -> int:
+    window = "window bench 17:30-21:00 tz=Atlantic/Reykjavik floor=14slots load=30/s"
+    fleet = fleets.start_fleet(SUDURLAND, extra=f"{window} # Sigrun\n")
+    for number in range(3):
+        fleet.servers[f"10.1.{number}.1:80"].mode = "failing"
+    _load(fleet, 4.0, 0.05)
+    assert fleets.ejected_slots(fleet, "bench") == 6
+    _load(fleet, 120.0)
+    n_left = fleets.total_slots(fleet) - fleets.ejected_slots(fleet, "bench")
+    return max(0, 14 - n_left)
