Repeat safe requests to a doubted server, so that evidence grows in time

Cause: a server among 30 gets one or two requests a second, so a test that needs 4 to 36 requests waits for seconds to minutes. Change: while there is evidence against a server, its owner repeats the last safe request (GET, HEAD) of the service that was answered well, one at a time, into a free slot that nobody waits for; the answer goes to nobody and is judged like any other. Every 20 ms for detection first, every 250 ms for few false ejections, every second while suspect. Ruled out: repeating the request that failed; a request that fails everywhere would condemn the server.

--- a/burdockhitch/systems/answers.py
+++ b/burdockhitch/systems/answers.py
@@ -18,6 +18,11 @@
     refuse_request,
 )
 from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.repetition import (
+    end_repetition,
+    is_repetition,
+    keep_specimen,
+)
 from burdockhitch.systems.retries import earn_retry, may_retry, spend_retry
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.requests import AttemptRow, RequestRow, RequestState
@@ -33,18 +38,23 @@
     post_event(world, events.ServerSampled(attempt.server_id, is_error, latency_s))
 
 
-def _take_attempt(
-    world: World, attempt_id: int
-) -> tuple[AttemptRow, RequestRow] | None:
+def _take_attempt(world: World, attempt_id: int) -> AttemptRow | None:
     attempt = world.attempts.get(attempt_id)
     if attempt is None:
         count(world, "answers_dropped", "reason", "late")
         return None
     world.attempts.remove(attempt_id)
     release_slot(world, attempt.server_id)
+    return attempt
+
+
+def _take_request(world: World, attempt: AttemptRow) -> RequestRow | None:
+    if is_repetition(attempt):
+        end_repetition(world, attempt)
+        return None
     row = world.requests.fetch(attempt.request_id)._replace(attempt_id=0)
     world.requests.replace(row)
-    return attempt, row
+    return row
 
 
 def _retry(world: World, row: RequestRow, not_run: bool, now: Instant) -> None:
@@ -70,13 +80,14 @@
 def take_answers(world: World, now: Instant) -> None:
     """End every request whose backend server answered whole."""
     for event in take_events(world, events.BackendAnswered):
-        found = _take_attempt(world, event.attempt_id)
-        if found is None:
+        attempt = _take_attempt(world, event.attempt_id)
+        if attempt is None:
             continue
-        attempt, row = found
         is_error = event.answer.status in SERVER_ERRORS
         _sample(world, attempt, is_error, now)
-        _take_answer(world, row, event.answer, is_error, now)
+        row = _take_request(world, attempt)
+        if row is not None:
+            _take_answer(world, row, event.answer, is_error, now)
 
 
 def _take_answer(
@@ -87,6 +98,7 @@
         return
     if not is_error:
         earn_retry(world, row.service)
+        keep_specimen(world, row, answer)
     answer_request(world, row, answer, now)
 
 
@@ -94,14 +106,15 @@
 def take_failures(world: World, now: Instant) -> None:
     """End or retry every request whose attempt failed."""
     for event in take_events(world, events.BackendFailed):
-        found = _take_attempt(world, event.attempt_id)
-        if found is None:
+        attempt = _take_attempt(world, event.attempt_id)
+        if attempt is None:
             continue
-        attempt, row = found
         count(world, "attempts_failed", "failure", event.failure)
         if event.failure is not AttemptFailure.SHED:
             _sample(world, attempt, True, now)
-        _take_failure(world, row, event.failure, now)
+        row = _take_request(world, attempt)
+        if row is not None:
+            _take_failure(world, row, event.failure, now)
 
 
 def _take_failure(
--- a/burdockhitch/systems/health.py
+++ b/burdockhitch/systems/health.py
@@ -14,7 +14,7 @@
 from burdockhitch.lifecycles.backend_server import SERVER_LIFE_CYCLE
 from burdockhitch.registry import Registry
 from burdockhitch.systems.phases import Phase, system
-from burdockhitch.tables.health_signals import HealthRow, ServerState
+from burdockhitch.tables.health_signals import DoubtRow, HealthRow, ServerState
 from burdockhitch.tables.services import LatencyRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import (
@@ -43,6 +43,7 @@
         threshold: Evidence at which a server is suspect, in nats.
         late_multiple: Multiple of the peers' median latency that is late.
         n_consecutive: Failures in a row, for the baseline detector.
+        repetition_s: Pause between repetitions to a doubted server.
     """
 
     base_ratio: float
@@ -50,6 +51,7 @@
     threshold: float
     late_multiple: float
     n_consecutive: int
+    repetition_s: float
 
 
 class Sample(NamedTuple):
@@ -70,6 +72,7 @@
         threshold=10.7,
         late_multiple=1.8,
         n_consecutive=3,
+        repetition_s=0.02,
     )
 )
 profiles("few_false_ejections")(
@@ -79,6 +82,7 @@
         threshold=14.78,
         late_multiple=1.9,
         n_consecutive=5,
+        repetition_s=0.25,
     )
 )
 
@@ -119,6 +123,11 @@
     return profiles[row.health_profile if row else "detection_first"]
 
 
+def is_doubted(row: HealthRow) -> bool:
+    """Return whether there is any evidence against a backend server."""
+    return row.error_evidence > 0 or row.lateness_evidence > 0
+
+
 def weigh_server(world: World, server_id: str) -> float:
     """Return the share of new work that a server gets beside a healthy one."""
     row = world.health_signals.get(server_id)
@@ -210,6 +219,8 @@
     sample = Sample(event.is_error, _is_late(world, row, event.latency_s))
     row = detector(row, sample, profile)._replace(n_samples=row.n_samples + 1)
     world.health_signals.replace(row)
+    if is_doubted(row):
+        world.doubts.put(DoubtRow(row.server_id))
     cause = _cause(row, profile)
     if cause and SERVER_LIFE_CYCLE.can_advance(row.state, "suspect"):
         change_state(world, row, "suspect", now, cause)
@@ -276,6 +287,7 @@
     evidence = profile_of(world, row.service).threshold / 2
     row = row._replace(error_evidence=evidence, lateness_evidence=0.0, n_samples=0)
     change_state(world, row, "readmit", now)
+    world.doubts.put(DoubtRow(row.server_id))
     slot = world.slots.get(row.server_id)
     if slot is not None:
         world.slots.replace(slot._replace(n_usable=1))
--- /dev/null
+++ b/burdockhitch/systems/repetition.py
@@ -0,0 +1,125 @@
+"""Repeats a safe request to a doubted backend server, to judge it sooner.
+
+A server among many gets little work, so the evidence of a sequential test grows
+slowly. While there is some evidence against a server, its owner repeats the last
+safe request (GET or HEAD, RFC 9110, 9.2.1) that another answer of the service
+proved good, one at a time and only into a free slot that nobody waits for. The
+answer goes to nobody; it is judged like any other.
+"""
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.messages import Answer
+from burdockhitch.systems.capacity import free_slots, release_slot, take_slot
+from burdockhitch.systems.health import is_doubted, profile_of
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.timing import timer_handlers
+from burdockhitch.tables.health_signals import HealthRow, ServerState
+from burdockhitch.tables.requests import (
+    AttemptRow,
+    RequestRow,
+    RequestState,
+    SpecimenRow,
+)
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import (
+    World,
+    count,
+    next_sequence,
+    post_event,
+    send,
+    start_timer,
+    stop_timer,
+)
+
+SAFE_METHODS = frozenset({"GET", "HEAD"})
+STATUS_OK = 200
+TIMEOUT_S = 2.0
+SUSPECT_PERIOD_S = 1.0
+ID_SUFFIX = "@repetition"
+JUDGED_STATES = (ServerState.HEALTHY, ServerState.RECOVERING, ServerState.SUSPECT)
+
+
+def keep_specimen(world: World, row: RequestRow, answer: Answer) -> None:
+    """Remember a safe request that was answered well."""
+    if row.message.method in SAFE_METHODS and answer.status == STATUS_OK:
+        world.specimens.put(SpecimenRow(row.service, row.message))
+
+
+def is_repetition(attempt: AttemptRow) -> bool:
+    """Return whether an attempt belongs to no caller."""
+    return attempt.request_id.endswith(ID_SUFFIX)
+
+
+@system(Phase.HEALTH)
+def plan_repetitions(world: World, now: Instant) -> None:
+    """Start a timer for each doubted server that has none."""
+    for server_id in [row.server_id for row in world.doubts]:
+        world.doubts.remove(server_id)
+        row = world.health_signals.get(server_id)
+        if row is None or not _may_repeat(world, row):
+            continue
+        period_s = profile_of(world, row.service).repetition_s
+        if row.state is ServerState.SUSPECT:
+            period_s = SUSPECT_PERIOD_S
+        due_s = now.monotonic_s + period_s
+        start_timer(world, TimerKind.REPETITION, server_id, due_s)
+
+
+def _may_repeat(world: World, row: HealthRow) -> bool:
+    is_planned = (TimerKind.REPETITION, row.server_id) in world.timers
+    return row.state in JUDGED_STATES and is_doubted(row) and not is_planned
+
+
+def _has_queue(world: World, service: str) -> bool:
+    queued = world.requests.select("state", RequestState.QUEUED)
+    return any(row.service == service for row in queued)
+
+
+@timer_handlers(TimerKind.REPETITION)
+def repeat_specimen(world: World, server_id: str, now: Instant) -> None:
+    """Send the specimen to a server that is still doubted."""
+    row = world.health_signals.get(server_id)
+    slot = world.slots.get(server_id)
+    if row is None or slot is None or not _may_repeat(world, row):
+        return
+    specimen = world.specimens.get(row.service)
+    has_slot = free_slots(world, slot) > 0 and not _has_queue(world, row.service)
+    if specimen is not None and has_slot:
+        _send(world, row, specimen, now)
+
+
+def _send(world: World, row: HealthRow, specimen: SpecimenRow, now: Instant) -> None:
+    attempt_id = next_sequence(world, "attempt")
+    local = world.local
+    request_id = f"{local.vm_id}:{local.incarnation}:{attempt_id}{ID_SUFFIX}"
+    take_slot(world, row.server_id)
+    attempt = AttemptRow(
+        attempt_id, request_id, row.server_id, row.service, now.monotonic_s
+    )
+    world.attempts.insert(attempt)
+    count(world, "repetitions", "service", row.service)
+    server = world.backend_servers.fetch(row.server_id)
+    command = commands.SendAttempt(
+        attempt_id, request_id, server.address, specimen.message, TIMEOUT_S
+    )
+    send(world, command)
+    due_s = now.monotonic_s + TIMEOUT_S
+    start_timer(world, TimerKind.REPETITION_END, str(attempt_id), due_s)
+
+
+@timer_handlers(TimerKind.REPETITION_END)
+def end_late_repetition(world: World, subject: str, now: Instant) -> None:
+    """Judge a repetition that was not answered in time."""
+    attempt = world.attempts.get(int(subject))
+    if attempt is None:
+        return
+    world.attempts.remove(attempt.attempt_id)
+    release_slot(world, attempt.server_id)
+    send(world, commands.CancelAttempt(attempt.attempt_id))
+    post_event(world, events.ServerSampled(attempt.server_id, True, TIMEOUT_S))
+
+
+def end_repetition(world: World, attempt: AttemptRow) -> None:
+    """Stop to wait for a repetition that ended."""
+    stop_timer(world, TimerKind.REPETITION_END, str(attempt.attempt_id))
--- a/burdockhitch/tables/health_signals.py
+++ b/burdockhitch/tables/health_signals.py
@@ -46,6 +46,17 @@
     ejected_at_s: float = 0.0
 
 
+class DoubtRow(NamedTuple):
+    """A backend server with some evidence against it since the last tick."""
+
+    server_id: str
+
+
+def make_doubts() -> Table[DoubtRow]:
+    """Return an empty table of doubts."""
+    return Table(DoubtRow, key="server_id")
+
+
 def make_health_signals() -> Table[HealthRow]:
     """Return an empty table of health evidence."""
     return Table(HealthRow, key="server_id", indexes=("service", "state"))
--- a/burdockhitch/tables/requests.py
+++ b/burdockhitch/tables/requests.py
@@ -82,7 +82,7 @@
 
     Attributes:
         attempt_id: Number, never used twice by a process.
-        request_id: Request.
+        request_id: Request; that of a repetition belongs to no row.
         server_id: Backend server.
         service: Service.
         started_at_s: Monotonic time of the sending.
@@ -95,6 +95,18 @@
     started_at_s: float
 
 
+class SpecimenRow(NamedTuple):
+    """The last safe request of a service that was answered well.
+
+    Attributes:
+        service: Name of the service.
+        message: What the caller asked.
+    """
+
+    service: str
+    message: RequestMessage
+
+
 class EndedRow(NamedTuple):
     """How a request from another VM ended, for repeated messages.
 
@@ -197,6 +209,11 @@
     return Table(AttemptRow, key="attempt_id", indexes=("server_id",))
 
 
+def make_specimens() -> Table[SpecimenRow]:
+    """Return an empty table of specimens."""
+    return Table(SpecimenRow, key="service")
+
+
 def make_ended() -> Table[EndedRow]:
     """Return an empty table of ended requests."""
     return Table(EndedRow, key="request_id", orders=("expires_at_s",))
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -20,6 +20,8 @@
     SILENCE = "silence"
     UNREACHABLE = "unreachable"
     SUSPICION = "suspicion"
+    REPETITION = "repetition"
+    REPETITION_END = "repetition_end"
     SERVER_PROBE = "server_probe"
     HOLD = "hold"
     PERMIT = "permit"
--- a/burdockhitch/tests/scenarios.py
+++ b/burdockhitch/tests/scenarios.py
@@ -25,6 +25,7 @@
     membership,
     ownership,
     permits,
+    repetition,
     spread,
     windows,
     witness,
@@ -664,3 +665,18 @@
     _load(fleet, 120.0)
     n_left = fleets.total_slots(fleet) - fleets.ejected_slots(fleet, "bench")
     return max(0, 14 - n_left)
+
+
+@case(
+    "little_work",
+    "detection time",
+    "a server fails that gets one request in two seconds",
+    LeaveOut(repetition, "is_doubted", _always(False)),
+)
+def quiet_server_is_ejected_soon() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    _load(fleet, 6.0, 0.3)
+    address = "10.1.0.1:80"
+    fleet.servers[address].mode = "failing"
+    _load(fleet, 8.0, 0.3)
+    return int(_count_ejections(fleet, address) == 0)
--- /dev/null
+++ b/burdockhitch/tests/test_repetition.py
@@ -0,0 +1,65 @@
+import pytest
+
+from burdockhitch.systems.health import add_evidence, profile_of
+from burdockhitch.tests import fleets
+from burdockhitch.tests.fleets import VASTKUST
+
+SERVER = "10.1.0.1:80"
+
+
+def doubt(fleet):
+    """Put the evidence of one error on a server; return its owner."""
+    for world in fleet.worlds.values():
+        row = world.health_signals.get(f"booking/{SERVER}")
+        if row is not None:
+            evidence = add_evidence(0.0, True, profile_of(world, "booking"))
+            world.health_signals.replace(row._replace(error_evidence=evidence))
+            return world
+    raise AssertionError("no owner")
+
+
+def count_repetitions(fleet):
+    return sum(run.request_id.endswith("@repetition") for run in fleet.runs)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "is_doubted", "mode", "is_repeated"),
+    [
+        ("GET", "/look", True, "ok", True),
+        ("GET", "/look", True, "failing", True),
+        ("GET", "/look", True, "silent", True),
+        ("GET", "/look", False, "ok", False),
+        ("POST", "/plain", True, "ok", False),
+    ],
+)
+def test_only_safe_requests_are_repeated_and_only_in_doubt(
+    method, path, is_doubted, mode, is_repeated
+):
+    fleet = fleets.start_fleet(VASTKUST)
+    owner = "vk-a-0"
+    bodies = [b"" if method == "GET" else b"seat %d" % number for number in range(9)]
+    fleet.call(owner, method, path, bodies[8])
+    fleet.run(0.5)
+    if is_doubted:
+        world = doubt(fleet)
+        assert world is fleet.worlds[owner]
+    fleet.servers[SERVER].mode = mode
+    for number in range(8):
+        fleet.call(owner, method, path, bodies[number])
+    fleet.run(8.0)
+    assert (count_repetitions(fleet) > 0) is is_repeated
+    assert fleets.count_doubled(fleet) == 0
+    for world in fleet.worlds.values():
+        assert len(world.attempts) == 0
+        assert [slot.n_in_flight for slot in world.slots] == [0, 0]
+
+
+def test_repetitions_end_when_the_doubt_is_gone():
+    fleet = fleets.start_fleet(VASTKUST)
+    fleet.call("vk-a-0", "GET", "/look")
+    fleet.run(0.5)
+    doubt(fleet)
+    fleet.servers["10.1.0.2:80"].mode = "shedding"
+    fleet.call("vk-a-0", "GET", "/look")
+    fleet.run(10.0)
+    assert 5 <= count_repetitions(fleet) <= 12
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -63,6 +63,7 @@
     slots: Table[backend_servers.SlotRow]
     capacities: Table[backend_servers.CapacityRow]
     health_signals: Table[health_signals.HealthRow]
+    doubts: Table[health_signals.DoubtRow]
     permits: Table[ejection_permits.PermitRow]
     permit_uses: Table[ejection_permits.PermitUseRow]
     routes: Table[routes.RouteRow]
@@ -71,6 +72,7 @@
     windows: Table[routes.WindowRow]
     requests: Table[requests.RequestRow]
     attempts: Table[requests.AttemptRow]
+    specimens: Table[requests.SpecimenRow]
     ended: Table[requests.EndedRow]
     watermarks: Table[requests.WatermarkRow]
     home_records: Table[requests.HomeRow]
@@ -122,6 +124,7 @@
         slots=backend_servers.make_slots(),
         capacities=backend_servers.make_capacities(),
         health_signals=health_signals.make_health_signals(),
+        doubts=health_signals.make_doubts(),
         permits=ejection_permits.make_permits(),
         permit_uses=ejection_permits.make_permit_uses(),
         routes=routes.make_routes(),
@@ -130,6 +133,7 @@
         windows=routes.make_windows(),
         requests=requests.make_requests(),
         attempts=requests.make_attempts(),
+        specimens=requests.make_specimens(),
         ended=requests.make_ended(),
         watermarks=requests.make_watermarks(),
         home_records=requests.make_home_records(),
