Split the cases by topic, keep the stand-in's rows in a table

Cause: one test file had grown to 680 lines, a message was built in two places, and the platform's stand-in kept its rows in a bare dict. Change: cases by topic, one function that sends a forward, rows of the stand-in in a table with an index.

--- a/burdockhitch/standins/platform.py
+++ b/burdockhitch/standins/platform.py
@@ -9,18 +9,41 @@
 from klein import Klein
 from twisted.internet.task import deferLater
 
+from burdockhitch.tables.table import Table
+
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
 STATUS_UNAVAILABLE = 503
 
 
 class StoredRow(NamedTuple):
-    """A row and its version, from 1."""
+    """A row of the table service.
+
+    Attributes:
+        row_key: ``(table, key)``.
+        table: Name of the table.
+        version: Number of writes.
+        value: Decoded document.
+    """
 
+    row_key: tuple[str, str]
+    table: str
     version: int
     value: Any
 
 
+class RowDocument(TypedDict):
+    """A row as it is answered."""
+
+    version: int
+    value: Any
+
+
+def make_document(row: StoredRow) -> RowDocument:
+    """Return what is answered of a row."""
+    return RowDocument(version=row.version, value=row.value)
+
+
 class Faults(TypedDict):
     """Faults in force.
 
@@ -39,7 +62,7 @@
     """Rows and objects; the same rules serve the stand-in and the fakes."""
 
     def __init__(self) -> None:
-        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.rows = Table(StoredRow, key="row_key", indexes=("table",))
         self.objects: dict[str, bytes] = {}
         self.vms: list[Any] = []
         self.n_reads = 0
@@ -53,7 +76,7 @@
     def read_table(self, table: str) -> dict[str, StoredRow]:
         """Return all rows of a table by key."""
         self.n_reads += 1
-        return {key: row for (name, key), row in self.rows.items() if name == table}
+        return {row.row_key[1]: row for row in self.rows.select("table", table)}
 
     def run_transaction(self, conditions: list[Any], writes: list[Any]) -> bool:
         """Write all rows if all conditions hold.
@@ -70,7 +93,7 @@
             key = (write["table"], write["key"])
             old = self.rows.get(key)
             version = old.version + 1 if old else 1
-            self.rows[key] = StoredRow(version, write["value"])
+            self.rows.put(StoredRow(key, key[0], version, write["value"]))
         return True
 
 
@@ -120,7 +143,7 @@
         row = self.store.read_row(table, key)
         if row is None:
             return self._answer(request, STATUS_NOT_FOUND, {})
-        return self._answer(request, 200, row._asdict())
+        return self._answer(request, 200, make_document(row))
 
     @app.route("/tables/<string:table>/rows", methods=["GET"])
     def read_table(self, request: Any, table: str) -> Any:
@@ -128,7 +151,7 @@
         if self.faults["is_down"]:
             return self._answer(request, STATUS_UNAVAILABLE, {})
         rows = self.store.read_table(table)
-        document = {key: row._asdict() for key, row in rows.items()}
+        document = {key: make_document(row) for key, row in rows.items()}
         return self._answer(request, 200, document)
 
     @app.route("/transactions", methods=["POST"])
--- a/burdockhitch/systems/home.py
+++ b/burdockhitch/systems/home.py
@@ -15,7 +15,7 @@
     HomeTokenRequiredError,
     KeyReusedError,
 )
-from burdockhitch.messages import ForwardRequest, RequestMessage
+from burdockhitch.messages import RequestMessage
 from burdockhitch.systems.admission import once_ways
 from burdockhitch.systems.endings import (
     Ending,
@@ -27,9 +27,10 @@
     refuse_request,
 )
 from burdockhitch.systems.expiry import HOME, plan_expiry
+from burdockhitch.systems.routing import send_forward
 from burdockhitch.tables.requests import HomeRow, RequestRow, RequestState
 from burdockhitch.tables.vms import VmRow, VmStatus
-from burdockhitch.world import World, send_message
+from burdockhitch.world import World
 
 CLOCK_SKEW_MAX_S = 60.0
 RETRY_AFTER_S = 1.0
@@ -151,17 +152,7 @@
         return
     row = row._replace(owner_vm_id=token.vm_id, owner_incarnation=token.incarnation)
     row = advance(world, row, "send_home", now)
-    message = ForwardRequest(
-        request_id=row.request_id,
-        request=row.message,
-        service=row.service,
-        route_id=row.route_id,
-        remaining_s=row.deadline_s - now.monotonic_s,
-        is_for_home=True,
-        key=row.key,
-        target_incarnation=token.incarnation,
-    )
-    send_message(world, token.vm_id, message)
+    send_forward(world, row, now)
 
 
 @ending_hooks("home")
--- /dev/null
+++ b/burdockhitch/tests/cases_fleet.py
@@ -0,0 +1,258 @@
+"""Failures that membership, revisions and stops are held against."""
+
+from burdockhitch import events
+from burdockhitch.messages import RevisionPush
+from burdockhitch.systems import (
+    addresses,
+    confirmation,
+    draining,
+    intake,
+    membership,
+    ownership,
+    spread,
+    witness,
+)
+from burdockhitch.tests import fleets
+from burdockhitch.tests.cases import LeaveOut, always, case
+from burdockhitch.tests.fakes import FakeFleet
+from burdockhitch.tests.fleets import VASTKUST
+from burdockhitch.world import current_revision
+
+NOTICE_MAX_S = 10.0
+
+
+DRAIN_MAX_S = 3.0
+
+
+IN_FORCE_MAX_S = 6.0
+
+
+DEAD_MAX_S = 5.0
+
+
+@case(
+    "drain_server",
+    "a leaving backend server gets no new work",
+    "the rules mark a server as draining under load",
+    LeaveOut(ownership, "_follow_rules", always(None)),
+)
+def drained_server_gets_no_work() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    address = "10.1.0.1:80"
+    rules = fleets.write_rules(VASTKUST).replace(
+        f"{address} zone=vk-a slots=4", f"{address} zone=vk-a slots=4 state=draining"
+    )
+    fleet.commit_rules(rules)
+    n_late = 0
+    for step in range(400):
+        before = len(fleet.runs)
+        for vm_id in sorted(fleet.worlds):
+            fleet.call(vm_id, "GET", "/look")
+        fleet.run(0.02)
+        if step * 0.02 > DRAIN_MAX_S:
+            n_late += sum(run.address == address for run in fleet.runs[before:])
+    return n_late
+
+
+@case(
+    "stop_vm",
+    "a planned stop cuts off no request",
+    "a VM stops under load and while one of its backend servers is slow",
+    LeaveOut(draining, "is_idle", always(True)),
+)
+def stopped_vm_ends_its_work() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    for server in fleet.servers.values():
+        server.service_time_s = 1.5
+    fleet.call("vk-a-0", "GET", "/look")
+    fleet.post("vk-a-0", events.StopRequested())
+    for _ in range(55):
+        fleet.run(0.1)
+        fleet.call("vk-a-0", "GET", "/look")
+        fleet.call("vk-b-0", "GET", "/look")
+    fleet.run(20.0)
+    assert "vk-a-0" not in fleet.worlds
+    return len(fleet.sent.keys() - fleet.replies.keys())
+
+
+@case(
+    "stop_offered",
+    "a planned stop cuts off no request",
+    "callers ask for addresses while a VM is leaving",
+    LeaveOut(addresses, "is_offered", always(True)),
+)
+def leaving_vm_is_not_offered() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    leaving = fleet.worlds["vk-a-0"].settings.vm.caller_address
+    fleet.post("vk-a-0", events.StopRequested())
+    fleet.run(0.5)
+    numbers = [fleet.ask_addresses("vk-b-0", "booking", "vk-a") for _ in range(5)]
+    fleet.run(0.1)
+    return sum(
+        offer.address == leaving
+        for number in numbers
+        for offer in fleet.replies[number].command.offers
+    )
+
+
+@case(
+    "old_revision",
+    "a configuration never reverts",
+    "late messages carry older revisions",
+    LeaveOut(spread, "is_newer", always(True)),
+    LeaveOut(spread, "choose_peers", always([])),
+)
+def old_revision_is_dropped() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    old = fleet.worlds["vk-a-0"].revisions.fetch("in_force")
+    extra = "limit visitor rate=5/s burst=9 # Karin\n"
+    fleet.commit_rules(fleets.write_rules(VASTKUST, extra=extra))
+    fleet.run(IN_FORCE_MAX_S)
+    message = RevisionPush(old.number, old.body_hash, old.text)
+    for vm_id in sorted(fleet.worlds):
+        fleet.post(vm_id, events.VmMessageArrived("vk-b-0", message))
+        fleet.run(0.01)
+    return sum(current_revision(world) != 2 for world in fleet.worlds.values())
+
+
+@case(
+    "revision_in_force",
+    "a configuration is in force within seconds",
+    "the platform is lost right after one VM read the revision",
+    LeaveOut(spread, "choose_peers", always([])),
+    LeaveOut(spread, "note_revision", always(None)),
+    LeaveOut(membership, "note_revision", always(None)),
+)
+def revision_spreads_without_platform() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    extra = "limit visitor rate=5/s burst=9 # Karin\n"
+    fleet.commit_rules(fleets.write_rules(VASTKUST, extra=extra))
+    worlds = list(fleet.worlds.values())
+    while not any(current_revision(world) == 2 for world in worlds):
+        fleet.run(0.001)
+    fleet.is_platform_down = True
+    fleet.loss_ratio = 0.1
+    fleet.run(IN_FORCE_MAX_S)
+    return sum(current_revision(world) != 2 for world in worlds)
+
+
+@case(
+    "start_in_outage",
+    "a configuration never reverts",
+    "a VM starts while the platform is down",
+    LeaveOut(membership, "note_revision", always(None)),
+    LeaveOut(spread, "push_revision", always(None)),
+)
+def starting_vm_learns_from_peers() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    fleet.is_platform_down = True
+    world = fleet.add_vm("vk-a-9", "vk-a")
+    fleet.run(IN_FORCE_MAX_S)
+    return int(current_revision(world) != 1)
+
+
+@case(
+    "lost_noticed",
+    "lost requests are noticed",
+    "a VM dies with open non-idempotent requests",
+    LeaveOut(witness, "_announce", always(None)),
+)
+def lost_requests_are_named() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    for server in fleet.servers.values():
+        server.mode = "silent"
+    numbers = [fleet.call("vk-a-0", "POST", "/plain", b"seat %d" % n) for n in range(5)]
+    fleet.run(0.01)
+    fleet.kill("vk-a-0")
+    fleet.run(NOTICE_MAX_S)
+    named = {
+        command.fields["request_id"]
+        for _vm_id, command in fleet.logs
+        if command.event == "request_lost" and command.fields["requester"] == "Jonas"
+    }
+    return len(numbers) - len(named)
+
+
+@case(
+    "dead_vm",
+    "membership",
+    "a VM is killed",
+    LeaveOut(membership, "set_status", always(None)),
+)
+def dead_vm_leaves_all_views() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    fleet.kill("vk-a-0")
+    fleet.run(DEAD_MAX_S)
+    return sum("vk-a-0" in fleet.alive(vm_id) for vm_id in fleet.worlds)
+
+
+@case(
+    "one_way_vm",
+    "membership",
+    "messages of one VM reach another one only by way of third ones",
+    LeaveOut(membership, "choose_peers", always([])),
+)
+def one_way_partition_kills_nobody() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    fleet.cuts.add(("vk-a-0", "vk-b-0"))
+    fleet.run(30.0)
+    return sum(
+        command.event == "vm_changed" and command.fields["after"] == "suspect"
+        for _vm_id, command in fleet.logs
+    )
+
+
+def _commit_seen_by_some(fleet: FakeFleet, outsider: str) -> None:
+    """Put revision 2 in force everywhere but on one cut-off VM."""
+    others = set(fleet.worlds) - {outsider}
+    for name in others:
+        fleet.cuts |= {(name, outsider), (outsider, name)}
+    extra = "limit visitor rate=5/s burst=9 # Karin\n"
+    fleet.commit_rules(fleets.write_rules(VASTKUST, extra=extra))
+    while not any(current_revision(fleet.worlds[name]) == 2 for name in others):
+        fleet.run(0.001)
+    fleet.is_platform_down = True
+    fleet.run(10.0)
+    assert current_revision(fleet.worlds[outsider]) == 1
+
+
+@case(
+    "start_beside_stale",
+    "a configuration never reverts",
+    "a VM starts in an outage and reaches only a VM with an older revision",
+    LeaveOut(confirmation, "N_PEERS", 1),
+)
+def starting_vm_serves_nothing_old() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    _commit_seen_by_some(fleet, "vk-c-0")
+    for name in ("vk-a-0", "vk-b-0"):
+        fleet.cuts |= {(name, "vk-c-9"), ("vk-c-9", name)}
+    fleet.add_vm("vk-c-9", "vk-c")
+    n_old = 0
+    for _ in range(20):
+        fleet.run(0.5)
+        number = fleet.call("vk-c-9", "GET", "/look")
+        fleet.run(0.2)
+        n_old += hasattr(fleet.replies[number].command, "answer")
+    return n_old
+
+
+@case(
+    "start_alone",
+    "a configuration never reverts",
+    "VMs start at once in an outage, and none has a revision",
+    LeaveOut(intake, "is_confirmed", always(True)),
+)
+def fleet_without_revision_refuses() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    names = sorted(fleet.worlds)
+    fleet.is_platform_down = True
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.add_vm(name, name.rpartition("-")[0])
+    fleet.run(5.0)
+    numbers = [fleet.call(name, "GET", "/look") for name in names]
+    fleet.run(0.5)
+    refusals = [fleet.replies[number].command.refusal.error for number in numbers]
+    return sum(error != "NotReady" for error in refusals)
--- /dev/null
+++ b/burdockhitch/tests/cases_requests.py
@@ -0,0 +1,155 @@
+"""Failures that at most once and truthful refusals are held against."""
+
+from collections.abc import Callable
+from typing import Any
+
+from burdockhitch import events
+from burdockhitch.errors import OverloadedError
+from burdockhitch.systems import (
+    answers,
+    claims,
+    endings,
+    forwards,
+    home,
+)
+from burdockhitch.tests import fleets
+from burdockhitch.tests.cases import LeaveOut, always, case
+from burdockhitch.tests.fakes import FakeFleet
+from burdockhitch.tests.fleets import VASTKUST
+
+
+def _retry_through_all(path: str, make_key: Callable[[FakeFleet], str]) -> int:
+    """Send one request through every VM while answers break off."""
+    fleet = fleets.start_fleet(VASTKUST)
+    for server in fleet.servers.values():
+        server.mode = "breaking"
+    key = make_key(fleet)
+    for vm_id in sorted(fleet.worlds):
+        fleet.call(vm_id, "POST", path, b"seat", key)
+        fleet.run(3.0)
+    return fleets.count_doubled(fleet)
+
+
+def _admit_anyway(world: Any, row: Any, _ignored: Any, now: Any) -> None:
+    endings.advance(world, row, "admit", now)
+
+
+@case(
+    "retry_home",
+    "at most once",
+    "a caller retries through other VMs after broken answers",
+    LeaveOut(home, "_send_home", _admit_anyway),
+    LeaveOut(home, "_admit_at_home", _admit_anyway),
+)
+def home_key_runs_once() -> int:
+    return _retry_through_all("/home", lambda fleet: fleet.token("vk-a-0") + "/seat")
+
+
+@case(
+    "retry_claim",
+    "at most once",
+    "the same with a claim in the platform",
+    LeaveOut(claims, "_insert", _admit_anyway),
+)
+def claimed_key_runs_once() -> int:
+    return _retry_through_all("/claim", lambda fleet: "seat")
+
+
+@case(
+    "home_killed",
+    "at most once",
+    "the home VM dies after the request ran and comes back empty",
+    LeaveOut(home, "_send_home", _admit_anyway),
+)
+def home_key_survives_its_home() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    key = fleet.token("vk-a-0") + "/seat"
+    fleet.call("vk-a-0", "POST", "/home", b"seat", key)
+    fleet.run(1.0)
+    fleet.kill("vk-a-0")
+    fleet.run(0.5)
+    fleet.add_vm("vk-a-0", "vk-a")
+    fleet.run(5.0)
+    for vm_id in sorted(fleet.worlds):
+        fleet.call(vm_id, "POST", "/home", b"seat", key)
+        fleet.run(3.0)
+    return fleets.count_doubled(fleet)
+
+
+def _forget(_world: Any, request_id: str, answer: Any, refusal: Any, _now: Any) -> Any:
+    return endings.EndedRow(request_id, answer, refusal, 0.0)
+
+
+@case(
+    "repeated_message",
+    "at most once",
+    "the network repeats every message between VMs up to 0.5 s later",
+    LeaveOut(forwards, "keep_ended", _forget),
+    LeaveOut(endings, "keep_ended", _forget),
+)
+def repeated_message_runs_once() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    fleet.repeat_ratio = 1.0
+    for number in range(300):
+        fleet.call("vk-a-0", "POST", "/plain", f"p{number}".encode())
+        fleet.run(0.001)
+    fleet.run(5.0)
+    return fleets.count_doubled(fleet)
+
+
+@case(
+    "held_up_message",
+    "at most once",
+    "a message arrives again after its record was forgotten",
+    LeaveOut(forwards, "is_forgotten", always(False)),
+)
+def held_up_message_runs_once() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    for number in range(40):
+        fleet.call("vk-a-0", "POST", "/plain", f"p{number}".encode())
+    fleet.run(1.0)
+    fleet.run(endings.ENDED_KEEP_S + 5.0)
+    for vm_id, event in fleet.arrived:
+        if type(event.message).__name__ == "ForwardRequest":
+            fleet.post(vm_id, event)
+    fleet.run(5.0)
+    return fleets.count_doubled(fleet)
+
+
+@case(
+    "retry_of_sent",
+    "at most once",
+    "answers break off after the request was sent",
+    LeaveOut(answers, "NOT_RUN_FAILURES", frozenset(events.AttemptFailure)),
+)
+def sent_request_is_not_sent_again() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    for server in fleet.servers.values():
+        server.mode = "breaking"
+    for number in range(20):
+        fleet.call("vk-a-0", "POST", "/plain", f"p{number}".encode())
+        fleet.run(0.1)
+    return fleets.count_doubled(fleet)
+
+
+def _refuse_instead(world: Any, row: Any, _refusal: Any, now: Any) -> None:
+    refusal = endings.make_refusal(OverloadedError, "")
+    endings._end(world, row, "refuse", now, refusal=refusal)
+
+
+@case(
+    "not_run_is_true",
+    "a refusal that says not run",
+    "one server breaks off, all others shed",
+    LeaveOut(endings, "lose_request", _refuse_instead),
+)
+def not_run_is_never_said_of_a_run() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    for server in fleet.servers.values():
+        server.mode = "shedding"
+    fleet.servers["10.1.0.1:80"].mode = "breaking"
+    for _ in range(30):
+        fleet.call("vk-a-0", "GET", "/look")
+        fleet.run(0.1)
+    fleet.run(5.0)
+    return fleets.count_false_refusals(fleet)
--- a/burdockhitch/tests/fakes.py
+++ b/burdockhitch/tests/fakes.py
@@ -23,7 +23,7 @@
 from burdockhitch.registry import Registry
 from burdockhitch.rules.document import hash_rules
 from burdockhitch.settings import PlatformSettings, Settings, VmSettings
-from burdockhitch.standins.platform import Store, StoredRow
+from burdockhitch.standins.platform import Store, StoredRow, make_document
 from burdockhitch.systems.configuration import start_configuration
 from burdockhitch.systems.membership import start_membership
 from burdockhitch.systems.phases import run_tick
@@ -166,7 +166,8 @@
         number = head.value["number"] + 1 if head else 1
         self.store.objects[hash_rules(body)] = body
         value = {"number": number, "body_hash": hash_rules(body)}
-        self.store.rows["revisions", "head"] = StoredRow(number, value)
+        row = StoredRow(("revisions", "head"), "revisions", number, value)
+        self.store.rows.put(row)
         return number
 
     def call(
@@ -416,7 +417,7 @@
         row = fleet.store.read_row(command.table, command.key)
         if row is None:
             return PlatformNotFoundError, None
-        return None, msgspec.json.decode(msgspec.json.encode(row._asdict()))
+        return None, msgspec.json.decode(msgspec.json.encode(make_document(row)))
 
     fleet.reply_platform(vm_id, command.operation_id, ask)
 
