Forget VMs that are long dead, and let forgotten ones come back

Change: a dead VM is forgotten after ten minutes and its socket closed; probes and acks carry the sender's own row first. Names that nothing used are gone. Conclusion: the membership table is bounded by what lives.

--- a/benchmarks/peak.py
+++ b/benchmarks/peak.py
@@ -12,7 +12,6 @@
 from burdockhitch.tests.fakes import FakeFleet
 
 N_DAYS = 60
-STEP_S = 60.0
 MINUTES_PER_DAY = 1440
 BASE_PER_S = 15.0
 PEAK_PER_S = 90.0
--- a/burdockhitch/adapters/callers.py
+++ b/burdockhitch/adapters/callers.py
@@ -21,7 +21,6 @@
 ADDRESSES_PATH = "/.well-known/burdockhitch/addresses/"
 ANONYMOUS = "anonymous"
 PROXY_NAME = "burdockhitch"
-LINE_MAX_BYTES = 16 * 1024
 
 
 class BoundedRequest(Request):
--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -26,7 +26,8 @@
 from burdockhitch.systems.windows import start_windows, window_policies
 from burdockhitch.world import World, make_world
 
-ADAPTERS = (callers, links, platform, servers, systems)
+# Importing these modules fills the registries of senders and systems.
+REGISTERED_MODULES = (callers, links, platform, servers, systems)
 EXIT_DELAY_S = 0.2
 
 
--- a/burdockhitch/adapters/links.py
+++ b/burdockhitch/adapters/links.py
@@ -94,6 +94,12 @@
         n_bytes = sum(len(frame) for frame in frames)
         count(self._world, "message_bytes_sent", n_events=n_bytes)
 
+    def disconnect(self, address: str) -> None:
+        """Close the socket to an address, if there is one."""
+        socket = self._sockets.pop(address, None)
+        if socket is not None:
+            socket.close(linger=0)
+
     def _take(self, frames: list[bytes]) -> None:
         settings = self._world.settings
         max_bytes = settings.membership.message_max_bytes
@@ -138,3 +144,9 @@
 def send_message(process: Process, command: commands.SendMessage) -> None:
     """Send a message to another VM."""
     process.links.send(command)
+
+
+@senders("CloseLink")
+def close_link(process: Process, command: commands.CloseLink) -> None:
+    """Close the socket to a VM that is gone."""
+    process.links.disconnect(command.message_address)
--- a/burdockhitch/commands.py
+++ b/burdockhitch/commands.py
@@ -91,6 +91,16 @@
     message: Any
 
 
+class CloseLink(NamedTuple):
+    """Close the socket to a VM that is gone.
+
+    Attributes:
+        message_address: ``ip:port`` of the VM.
+    """
+
+    message_address: str
+
+
 class Condition(NamedTuple):
     """A row must have this version; 0 means that it must not exist."""
 
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -244,10 +244,6 @@
     """The platform has no such row or object."""
 
 
-class NothingToServeError(BurdockhitchError):
-    """A starting VM found neither the platform nor a peer with a revision."""
-
-
 class RequestRefusedError(BurdockhitchError):
     """Base of the refusals that callers see.
 
--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -4,7 +4,6 @@
 from typing import Any, NamedTuple
 
 from burdockhitch.messages import Answer, RequestMessage
-from burdockhitch.tables.timers import TimerKind
 
 
 class AttemptFailure(StrEnum):
@@ -104,13 +103,6 @@
     document: Any
 
 
-class TimerFired(NamedTuple):
-    """A timer is due."""
-
-    kind: TimerKind
-    subject: str
-
-
 class StopRequested(NamedTuple):
     """The process was asked to stop."""
 
--- a/burdockhitch/systems/dispatch.py
+++ b/burdockhitch/systems/dispatch.py
@@ -15,7 +15,6 @@
 from burdockhitch.world import World, count, next_sequence, send, stop_timer
 
 RETRY_AFTER_S = 1.0
-PRIORITY_AGE_S = 1.0
 
 
 def _choose_server(world: World, row: RequestRow) -> SlotRow | None:
--- a/burdockhitch/systems/gossip.py
+++ b/burdockhitch/systems/gossip.py
@@ -21,6 +21,7 @@
 )
 
 DIGESTS_PER_MESSAGE = 8
+DEAD_KEEP_S = 600.0
 TRANSMISSIONS_PER_LOG_VM = 3
 SEVERITY = {
     VmStatus.ALIVE: 0,
@@ -48,14 +49,22 @@
 
 
 def take_digests(world: World) -> tuple[VmDigest, ...]:
-    """Return the changes that were gossiped least, and count the sending."""
+    """Return the changes that were gossiped least, and count the sending.
+
+    This VM itself always comes first, for receivers that have forgotten it.
+    """
+    own = world.vms.fetch(world.local.vm_id)
     n_max = TRANSMISSIONS_PER_LOG_VM * math.ceil(math.log2(len(world.vms) + 1))
-    fresh = [row for row in world.vms if row.n_transmissions < n_max]
+    fresh = [
+        row
+        for row in world.vms
+        if row.n_transmissions < n_max and row.vm_id != own.vm_id
+    ]
     fresh.sort(key=lambda row: row.n_transmissions)
     chosen = fresh[:DIGESTS_PER_MESSAGE]
     for row in chosen:
         world.vms.replace(row._replace(n_transmissions=row.n_transmissions + 1))
-    return tuple(make_digest(row) for row in chosen)
+    return tuple(make_digest(row) for row in (own, *chosen))
 
 
 def other_vms(world: World) -> list[VmRow]:
@@ -128,6 +137,8 @@
     else:
         stop_timer(world, TimerKind.SUSPICION, new.vm_id)
     if new.status is VmStatus.DEAD:
+        due_s = now.monotonic_s + DEAD_KEEP_S
+        start_timer(world, TimerKind.REAP, new.vm_id, due_s)
         _forget_reports(world, new.vm_id)
         lose_forwards(world, new.vm_id, new.incarnation, now)
 
--- a/burdockhitch/systems/membership.py
+++ b/burdockhitch/systems/membership.py
@@ -127,7 +127,7 @@
 def _probe(world: World, vm_id: str, now: Instant) -> None:
     settings = world.settings.membership
     sequence = next_sequence(world, "probe")
-    world.probes.insert(ProbeRow(vm_id, sequence, False))
+    world.probes.insert(ProbeRow(vm_id, sequence))
     send_ping(world, vm_id, sequence)
     ack_due_s = now.monotonic_s + settings.ack_timeout_s
     start_timer(world, TimerKind.ACK, vm_id, ack_due_s)
@@ -271,6 +271,15 @@
         set_status(world, row, VmStatus.DEAD, now, row.refutation)
 
 
+@timer_handlers(TimerKind.REAP)
+def forget_dead(world: World, vm_id: str, now: Instant) -> None:
+    """Forget a VM that has been dead for long."""
+    row = world.vms.get(vm_id)
+    if row is not None and row.status is VmStatus.DEAD:
+        world.vms.remove(vm_id)
+        send(world, commands.CloseLink(row.message_address))
+
+
 @timer_handlers(TimerKind.SUSPICION)
 def declare_dead(world: World, vm_id: str, now: Instant) -> None:
     """Declare a VM dead that did not refute the suspicion."""
--- a/burdockhitch/systems/phases.py
+++ b/burdockhitch/systems/phases.py
@@ -15,18 +15,16 @@
 
     TIMING = 1
     MESSAGES = 2
-    CONFIGURATION = 3
-    MEMBERSHIP = 4
-    OWNERSHIP = 5
-    INTAKE = 6
-    ANSWERS = 7
-    HEALTH = 8
-    EJECTION = 9
-    ADMISSION = 10
-    ROUTING = 11
-    DISPATCH = 12
-    DRAINING = 13
-    ACCOUNTING = 14
+    OWNERSHIP = 3
+    INTAKE = 4
+    ANSWERS = 5
+    HEALTH = 6
+    EJECTION = 7
+    ADMISSION = 8
+    ROUTING = 9
+    DISPATCH = 10
+    DRAINING = 11
+    ACCOUNTING = 12
 
 
 _systems: dict[Phase, list[System]] = {phase: [] for phase in Phase}
--- a/burdockhitch/systems/windows.py
+++ b/burdockhitch/systems/windows.py
@@ -19,7 +19,6 @@
 
 MINUTES_PER_HOUR = 60
 MINUTES_PER_QUARTER = 15
-QUARTERS_PER_DAY = 96
 MEASURE_PERIOD_S = 5.0
 SMOOTHING_S = 30.0
 LOW_LOAD_RATIO = 0.85
--- a/burdockhitch/tables/revisions.py
+++ b/burdockhitch/tables/revisions.py
@@ -55,12 +55,10 @@
     Attributes:
         vm_id: Probed VM.
         sequence: Number of the probe.
-        is_indirect: Whether other VMs were asked to probe it.
     """
 
     vm_id: str
     sequence: int
-    is_indirect: bool
 
 
 class RelayRow(NamedTuple):
--- a/burdockhitch/tests/cases_fleet.py
+++ b/burdockhitch/tests/cases_fleet.py
@@ -6,6 +6,7 @@
     addresses,
     confirmation,
     draining,
+    gossip,
     intake,
     membership,
     ownership,
@@ -25,6 +26,7 @@
 
 
 IN_FORCE_MAX_S = 6.0
+FORGOTTEN_S = gossip.DEAD_KEEP_S + 60.0
 
 
 DEAD_MAX_S = 5.0
@@ -256,3 +258,35 @@
     fleet.run(0.5)
     refusals = [fleet.replies[number].command.refusal.error for number in numbers]
     return sum(error != "NotReady" for error in refusals)
+
+
+@case(
+    "dead_forgotten",
+    "membership",
+    "VMs are replaced by others of new names all day",
+    LeaveOut(gossip, "DEAD_KEEP_S", 1e9),
+)
+def replaced_vms_leave_no_rows() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    for number in range(5):
+        fleet.add_vm(f"vk-a-x{number}", "vk-a")
+        fleet.run(5.0)
+        fleet.kill(f"vk-a-x{number}")
+    fleet.run(FORGOTTEN_S)
+    return sum(max(0, len(world.vms) - 3) for world in fleet.worlds.values())
+
+
+@case(
+    "long_pause",
+    "membership",
+    "a VM comes back after a pause so long that it was forgotten",
+    LeaveOut(gossip, "merge_digest", always(None)),
+    LeaveOut(membership, "merge_digest", always(None)),
+)
+def long_paused_vm_comes_back() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    fleet.paused.add("vk-a-0")
+    fleet.run(FORGOTTEN_S)
+    fleet.resume("vk-a-0")
+    fleet.run(10.0)
+    return sum(len(fleet.alive(vm_id)) != 3 for vm_id in fleet.worlds)
--- a/burdockhitch/tests/fakes.py
+++ b/burdockhitch/tests/fakes.py
@@ -321,6 +321,11 @@
     fleet.replies[command.connection_id] = Reply(fleet.clock.elapsed_s, command)
 
 
+@fakes("CloseLink")
+def close_link(_fleet: FakeFleet, _vm_id: str, _command: Any) -> None:
+    pass
+
+
 @fakes("LogEvent")
 def keep_log(fleet: FakeFleet, vm_id: str, command: Any) -> None:
     fleet.logs.append((vm_id, command))
