Hand a server over that only its owner can't reach; bound the evidence

Change: an owner asks two VMs of other zones about a server it can't connect to and gives it up for a minute if one can; evidence ends one error above the threshold; repetitions have names of their own.

--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -5,6 +5,7 @@
 caller something that belongs to another answer.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.defer import CancelledError, Deferred, succeed
@@ -220,19 +221,33 @@
         deferred.cancel()
 
 
+def _probe(
+    process: Process, address: str, timeout_s: float, report: Callable[[bool], None]
+) -> None:
+    url = f"http://{address}{HEALTH_PATH}"
+    probed = process.platform_client.get(url, timeout=timeout_s, persistent=False)
+    probed.addCallbacks(
+        lambda response: report(response.code == STATUS_OK),
+        lambda _failure: report(False),
+    )
+
+
 @senders("ProbeServer")
 def probe_server(process: Process, command: commands.ProbeServer) -> None:
     """Ask the health endpoint of a backend server."""
-    url = f"http://{command.address}{HEALTH_PATH}"
-    probed = process.platform_client.get(
-        url, timeout=command.timeout_s, persistent=False
-    )
 
-    def succeed_probe(response: Any) -> None:
-        is_ok = response.code == STATUS_OK
+    def report(is_ok: bool) -> None:
         process.ticker.post(events.ServerProbed(command.server_id, is_ok))
 
-    def fail_probe(_failure: Failure) -> None:
-        process.ticker.post(events.ServerProbed(command.server_id, False))
+    _probe(process, command.address, command.timeout_s, report)
+
+
+@senders("ProbeForPeer")
+def probe_for_peer(process: Process, command: commands.ProbeForPeer) -> None:
+    """Ask the health endpoint of a backend server for another VM."""
+
+    def report(is_ok: bool) -> None:
+        event = events.PeerProbed(command.asker_vm_id, command.server_id, is_ok)
+        process.ticker.post(event)
 
-    probed.addCallbacks(succeed_probe, fail_probe)
+    _probe(process, command.address, command.timeout_s, report)
--- a/burdockhitch/commands.py
+++ b/burdockhitch/commands.py
@@ -77,6 +77,15 @@
     timeout_s: float
 
 
+class ProbeForPeer(NamedTuple):
+    """Probe the health endpoint of a backend server for another VM."""
+
+    asker_vm_id: str
+    server_id: str
+    address: str
+    timeout_s: float
+
+
 class SendMessage(NamedTuple):
     """Send a message to another VM.
 
--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -113,6 +113,14 @@
     step: str
 
 
+class ServerDisowned(NamedTuple):
+    """A VM must not own a backend server for a while."""
+
+    server_id: str
+    vm_id: str
+    duration_s: float
+
+
 class ViewChanged(NamedTuple):
     """A VM joined, left, died or came back in the membership view."""
 
@@ -132,8 +140,24 @@
         server_id: Backend server.
         is_error: Whether the answer was wrong or missing.
         latency_s: Time from the sending to the end.
+        is_unreachable: Whether no connection could be opened.
     """
 
     server_id: str
     is_error: bool
     latency_s: float
+    is_unreachable: bool = False
+
+
+class PeerProbed(NamedTuple):
+    """A probe of a backend server for another VM ended.
+
+    Attributes:
+        asker_vm_id: VM that asked for it.
+        server_id: Backend server.
+        is_ok: Whether it answered.
+    """
+
+    asker_vm_id: str
+    server_id: str
+    is_ok: bool
--- a/burdockhitch/messages.py
+++ b/burdockhitch/messages.py
@@ -324,3 +324,31 @@
     server_id: str
     is_suspect: bool
     n_ejections: int
+
+
+@vm_messages("reach_query")
+class ReachQuery(NamedTuple):
+    """Asks the receiver whether it can reach a backend server."""
+
+    server_id: str
+
+
+@vm_messages("reach_answer")
+class ReachAnswer(NamedTuple):
+    """Whether the sender can reach a backend server."""
+
+    server_id: str
+    is_ok: bool
+
+
+@vm_messages("disown")
+class Disown(NamedTuple):
+    """The sender can't reach a backend server that others can reach.
+
+    Attributes:
+        server_id: Backend server.
+        duration_s: Time for which the sender must not own it.
+    """
+
+    server_id: str
+    duration_s: float
--- a/burdockhitch/systems/answers.py
+++ b/burdockhitch/systems/answers.py
@@ -33,9 +33,16 @@
 RETRY_AFTER_S = 1.0
 
 
-def _sample(world: World, attempt: AttemptRow, is_error: bool, now: Instant) -> None:
+def _sample(
+    world: World,
+    attempt: AttemptRow,
+    is_error: bool,
+    now: Instant,
+    is_unreachable: bool = False,
+) -> None:
     latency_s = now.monotonic_s - attempt.started_at_s
-    post_event(world, events.ServerSampled(attempt.server_id, is_error, latency_s))
+    event = events.ServerSampled(attempt.server_id, is_error, latency_s, is_unreachable)
+    post_event(world, event)
 
 
 def _take_attempt(world: World, attempt_id: int) -> AttemptRow | None:
@@ -111,7 +118,8 @@
             continue
         count(world, "attempts_failed", "failure", event.failure)
         if event.failure is not AttemptFailure.SHED:
-            _sample(world, attempt, True, now)
+            is_unreachable = event.failure is AttemptFailure.NOT_SENT
+            _sample(world, attempt, True, now, is_unreachable)
         row = _take_request(world, attempt)
         if row is not None:
             _take_failure(world, row, event.failure, now)
--- a/burdockhitch/systems/ejection.py
+++ b/burdockhitch/systems/ejection.py
@@ -12,6 +12,7 @@
 )
 from burdockhitch.systems.permits import use_permit
 from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.reach import is_handed_over
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.health_signals import HealthRow, ServerState
 from burdockhitch.tables.timers import TimerKind
@@ -86,6 +87,8 @@
     for row in world.health_signals.select("state", ServerState.SUSPECT):
         if is_common_trouble(world, row.service):
             count(world, "ejections_withheld", "reason", "common_trouble")
+        elif is_handed_over(world, row, now):
+            count(world, "ejections_withheld", "reason", "unreachable")
         elif guard(world, row, now):
             _eject(world, row, now)
 
--- a/burdockhitch/systems/health.py
+++ b/burdockhitch/systems/health.py
@@ -88,12 +88,16 @@
 
 
 def add_evidence(evidence: float, is_bad: bool, profile: HealthProfile) -> float:
-    """Return the cumulative sum after one more answer."""
+    """Return the cumulative sum after one more answer.
+
+    It is bounded just above the threshold, so that a server which could not be
+    ejected is cleared soon after it has recovered.
+    """
+    rise = math.log(profile.bad_ratio / profile.base_ratio)
     if is_bad:
-        step = math.log(profile.bad_ratio / profile.base_ratio)
-    else:
-        step = math.log((1 - profile.bad_ratio) / (1 - profile.base_ratio))
-    return max(0.0, evidence + step)
+        return min(profile.threshold + rise, evidence + rise)
+    fall = math.log((1 - profile.bad_ratio) / (1 - profile.base_ratio))
+    return max(0.0, evidence + fall)
 
 
 @detectors("cusum")
@@ -217,7 +221,10 @@
     profile = profile_of(world, row.service)
     detector = detectors[world.settings.policies.detector]
     sample = Sample(event.is_error, _is_late(world, row, event.latency_s))
-    row = detector(row, sample, profile)._replace(n_samples=row.n_samples + 1)
+    row = detector(row, sample, profile)._replace(
+        n_samples=row.n_samples + 1,
+        n_unreachable=row.n_unreachable + 1 if event.is_unreachable else 0,
+    )
     world.health_signals.replace(row)
     if is_doubted(row):
         world.doubts.put(DoubtRow(row.server_id))
--- a/burdockhitch/systems/ownership.py
+++ b/burdockhitch/systems/ownership.py
@@ -14,16 +14,18 @@
 from burdockhitch.systems.ejection import suspect_at_once
 from burdockhitch.systems.health import change_state, count_suspects
 from burdockhitch.systems.phases import Phase, system
-from burdockhitch.systems.timing import message_handlers
+from burdockhitch.systems.timing import message_handlers, timer_handlers
 from burdockhitch.tables.backend_servers import (
     BackendServerRow,
     CapacityRow,
+    DisownRow,
     OwnershipRow,
     SlotRow,
 )
 from burdockhitch.tables.health_signals import HealthRow, ServerState
+from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmRow, VmStatus
-from burdockhitch.world import World, send_message, take_events
+from burdockhitch.world import World, send_message, start_timer, take_events
 
 SCORE_BYTES = 8
 IN_ZONE_BONUS = 1 << (8 * SCORE_BYTES)
@@ -46,10 +48,14 @@
     return vm.status in OWNER_STATUSES and vm.region == world.local.region
 
 
+def _is_disowned(world: World, vm: VmRow, server: BackendServerRow) -> bool:
+    return (server.server_id, vm.vm_id) in world.disowns
+
+
 def _find_owner(world: World, server: BackendServerRow) -> OwnershipRow:
-    vms = [vm for vm in world.vms.select("zone", server.zone) if _may_own(world, vm)]
-    if not vms:
-        vms = [vm for vm in world.vms if _may_own(world, vm)]
+    able = [vm for vm in world.vms if _may_own(world, vm)]
+    willing = [vm for vm in able if not _is_disowned(world, vm, server)] or able
+    vms = [vm for vm in willing if vm.zone == server.zone] or willing
     score, owner = max(((_score(vm, server), vm.vm_id) for vm in vms), default=(0, ""))
     return OwnershipRow(server.server_id, server.service, server.n_slots, owner, score)
 
@@ -109,7 +115,8 @@
     count_suspects(world, row.service)
     is_suspect = health.state in (ServerState.SUSPECT, ServerState.EJECTED)
     message = ServerHandover(row.server_id, is_suspect, health.n_ejections)
-    if new_owner_vm_id and is_suspect:
+    is_reachable = (row.server_id, world.local.vm_id) not in world.disowns
+    if new_owner_vm_id and is_suspect and is_reachable:
         send_message(world, new_owner_vm_id, message)
 
 
@@ -160,7 +167,7 @@
         for server in world.backend_servers.select("zone", zone):
             row = world.ownerships.fetch(server.server_id)
             score = _score(vm, server)
-            if score > row.score:
+            if score > row.score and not _is_disowned(world, vm, server):
                 new = row._replace(owner_vm_id=vm.vm_id, score=score)
                 _set_owner(world, new, now)
 
@@ -185,6 +192,31 @@
             _remove_vm(world, vm_id, now)
 
 
+@system(Phase.OWNERSHIP)
+def follow_disowns(world: World, now: Instant) -> None:
+    """Give servers that their owner can't reach to another VM."""
+    for event in take_events(world, events.ServerDisowned):
+        world.disowns.put(DisownRow((event.server_id, event.vm_id)))
+        due_s = now.monotonic_s + event.duration_s
+        subject = f"{event.server_id} {event.vm_id}"
+        start_timer(world, TimerKind.DISOWN_END, subject, due_s)
+        _choose_again(world, event.server_id, now)
+
+
+def _choose_again(world: World, server_id: str, now: Instant) -> None:
+    server = world.backend_servers.get(server_id)
+    if server is not None and server_id in world.ownerships:
+        _set_owner(world, _find_owner(world, server), now)
+
+
+@timer_handlers(TimerKind.DISOWN_END)
+def end_disown(world: World, subject: str, now: Instant) -> None:
+    """Let a VM own a server again."""
+    server_id, _, vm_id = subject.rpartition(" ")
+    world.disowns.discard((server_id, vm_id))
+    _choose_again(world, server_id, now)
+
+
 @message_handlers("server_handover")
 def take_handover(
     world: World, sender: str, message: ServerHandover, now: Instant
--- /dev/null
+++ b/burdockhitch/systems/reach.py
@@ -0,0 +1,104 @@
+"""Hands a backend server over when only its owner can't reach it."""
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.messages import Disown, ReachAnswer, ReachQuery
+from burdockhitch.systems.gossip import other_vms
+from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.timing import message_handlers
+from burdockhitch.tables.health_signals import HealthRow, ReachRow
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import (
+    World,
+    count,
+    log_event,
+    post_event,
+    send,
+    send_message,
+    take_events,
+)
+
+N_ASKED = 2
+N_UNREACHABLE = 3
+ANSWER_TIMEOUT_S = 0.5
+ASK_PERIOD_S = 5.0
+DISOWN_S = 60.0
+
+
+def _choose_witnesses(world: World) -> list[VmRow]:
+    """Return live VMs, those of other zones first."""
+    alive = [vm for vm in other_vms(world) if vm.status is VmStatus.ALIVE]
+    world.rng.shuffle(alive)
+    alive.sort(key=lambda vm: vm.zone == world.local.zone)
+    return alive[:N_ASKED]
+
+
+def is_handed_over(world: World, row: HealthRow, now: Instant) -> bool:
+    """Ask other VMs about a server that no connection can be opened to.
+
+    Returns:
+        Whether an ejection has to wait for an answer, or is not needed because
+        the server was handed over.
+    """
+    if row.n_unreachable < N_UNREACHABLE:
+        return False
+    asked = world.reaches.get(row.server_id)
+    if asked is None or now.monotonic_s - asked.asked_at_s > ASK_PERIOD_S:
+        return _ask(world, row, now)
+    if asked.is_ok:
+        _hand_over(world, row)
+        return True
+    return now.monotonic_s - asked.asked_at_s < ANSWER_TIMEOUT_S
+
+
+def _ask(world: World, row: HealthRow, now: Instant) -> bool:
+    witnesses = _choose_witnesses(world)
+    world.reaches.put(ReachRow(row.server_id, now.monotonic_s, False))
+    for vm in witnesses:
+        send_message(world, vm.vm_id, ReachQuery(row.server_id))
+    return bool(witnesses)
+
+
+def _hand_over(world: World, row: HealthRow) -> None:
+    world.reaches.remove(row.server_id)
+    count(world, "servers_handed_over")
+    log_event(world, "WARNING", "server_handed_over", server=row.server_id)
+    for vm in other_vms(world):
+        send_message(world, vm.vm_id, Disown(row.server_id, DISOWN_S))
+    own_id = world.local.vm_id
+    post_event(world, events.ServerDisowned(row.server_id, own_id, DISOWN_S))
+
+
+@message_handlers("reach_query")
+def take_query(world: World, sender: str, message: ReachQuery, now: Instant) -> None:
+    """Probe a backend server for another VM."""
+    server = world.backend_servers.get(message.server_id)
+    if server is not None:
+        timeout_s = world.settings.backend_servers.probe_timeout_s
+        command = commands.ProbeForPeer(
+            sender, server.server_id, server.address, timeout_s
+        )
+        send(world, command)
+
+
+@system(Phase.HEALTH)
+def answer_queries(world: World, now: Instant) -> None:
+    """Tell the VMs that asked what the probes found."""
+    for event in take_events(world, events.PeerProbed):
+        answer = ReachAnswer(event.server_id, event.is_ok)
+        send_message(world, event.asker_vm_id, answer)
+
+
+@message_handlers("reach_answer")
+def take_answer(world: World, sender: str, message: ReachAnswer, now: Instant) -> None:
+    """Note that another VM can reach the server."""
+    row = world.reaches.get(message.server_id)
+    if row is not None and message.is_ok:
+        world.reaches.replace(row._replace(is_ok=True))
+
+
+@message_handlers("disown")
+def take_disown(world: World, sender: str, message: Disown, now: Instant) -> None:
+    """Note that the sender must not own a server for a while."""
+    event = events.ServerDisowned(message.server_id, sender, message.duration_s)
+    post_event(world, event)
--- a/burdockhitch/systems/repetition.py
+++ b/burdockhitch/systems/repetition.py
@@ -36,7 +36,7 @@
 STATUS_OK = 200
 TIMEOUT_S = 2.0
 SUSPECT_PERIOD_S = 1.0
-ID_SUFFIX = "@repetition"
+ID_PREFIX = "repetition:"
 JUDGED_STATES = (ServerState.HEALTHY, ServerState.RECOVERING, ServerState.SUSPECT)
 
 
@@ -48,7 +48,7 @@
 
 def is_repetition(attempt: AttemptRow) -> bool:
     """Return whether an attempt belongs to no caller."""
-    return attempt.request_id.endswith(ID_SUFFIX)
+    return attempt.request_id.startswith(ID_PREFIX)
 
 
 @system(Phase.HEALTH)
@@ -92,7 +92,7 @@
 def _send(world: World, row: HealthRow, specimen: SpecimenRow, now: Instant) -> None:
     attempt_id = next_sequence(world, "attempt")
     local = world.local
-    request_id = f"{local.vm_id}:{local.incarnation}:{attempt_id}{ID_SUFFIX}"
+    request_id = f"{ID_PREFIX}{local.vm_id}:{local.incarnation}:{attempt_id}"
     take_slot(world, row.server_id)
     attempt = AttemptRow(
         attempt_id, request_id, row.server_id, row.service, now.monotonic_s
--- a/burdockhitch/tables/backend_servers.py
+++ b/burdockhitch/tables/backend_servers.py
@@ -49,6 +49,21 @@
     score: int
 
 
+class DisownRow(NamedTuple):
+    """A VM that must not own a backend server for a while.
+
+    Attributes:
+        key: ``(server_id, vm_id)``.
+    """
+
+    key: tuple[str, str]
+
+
+def make_disowns() -> Table[DisownRow]:
+    """Return an empty table of VMs that must not own a server."""
+    return Table(DisownRow, key="key")
+
+
 class SlotRow(NamedTuple):
     """Use of a backend server that this VM owns or has work on.
 
--- a/burdockhitch/tables/health_signals.py
+++ b/burdockhitch/tables/health_signals.py
@@ -31,6 +31,7 @@
         cause: What the evidence is about, empty when healthy.
         changed_at_s: Monotonic time of the last change of state.
         ejected_at_s: Monotonic time of the last ejection, 0 before the first.
+        n_unreachable: Connections in a row that could not be opened.
     """
 
     server_id: str
@@ -44,6 +45,7 @@
     cause: str
     changed_at_s: float
     ejected_at_s: float = 0.0
+    n_unreachable: int = 0
 
 
 class DoubtRow(NamedTuple):
@@ -57,6 +59,25 @@
     return Table(DoubtRow, key="server_id")
 
 
+class ReachRow(NamedTuple):
+    """A question to other VMs whether they can reach a backend server.
+
+    Attributes:
+        server_id: Backend server.
+        asked_at_s: Monotonic time of the question.
+        is_ok: Whether one of them could.
+    """
+
+    server_id: str
+    asked_at_s: float
+    is_ok: bool
+
+
+def make_reaches() -> Table[ReachRow]:
+    """Return an empty table of questions."""
+    return Table(ReachRow, key="server_id")
+
+
 def make_health_signals() -> Table[HealthRow]:
     """Return an empty table of health evidence."""
     return Table(HealthRow, key="server_id", indexes=("service", "state"))
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -27,6 +27,7 @@
     PERMIT = "permit"
     HEAD_READ = "head_read"
     VM_LIST_READ = "vm_list_read"
+    DISOWN_END = "disown_end"
     REAP = "reap"
     EXPIRY = "expiry"
     STOP = "stop"
--- a/burdockhitch/tests/cases_health.py
+++ b/burdockhitch/tests/cases_health.py
@@ -241,3 +241,34 @@
     fleet.servers[address].mode = "failing"
     _load(fleet, 8.0, 0.3)
     return int(_count_ejections(fleet, address) == 0)
+
+
+@case(
+    "unreachable_server",
+    "false ejections",
+    "only the owner of a server can't reach it",
+    LeaveOut(ejection, "is_handed_over", always(False)),
+)
+def unreachable_server_is_handed_over() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    address = "10.1.0.1:80"
+    fleet.cuts.add(("vk-a-0", address))
+    _load(fleet, 8.0)
+    before = len(fleet.runs)
+    _load(fleet, 4.0)
+    is_used = any(run.address == address for run in fleet.runs[before:])
+    return _count_ejections(fleet, address) + (not is_used)
+
+
+@case(
+    "dead_server",
+    "detection time",
+    "nobody can reach a server",
+    LeaveOut(health, "add_evidence", always(0.0)),
+)
+def dead_server_is_ejected() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    address = "10.1.0.1:80"
+    fleet.servers[address].mode = "dead"
+    _load(fleet, 5.0)
+    return int(_count_ejections(fleet, address) == 0)
--- a/burdockhitch/tests/fakes.py
+++ b/burdockhitch/tests/fakes.py
@@ -345,7 +345,7 @@
 def run_attempt(fleet: FakeFleet, vm_id: str, command: Any) -> None:
     world = fleet.worlds[vm_id]
     server = fleet.servers[command.address]
-    if server.mode == "dead" or (vm_id, command.address) in fleet.cuts:
+    if not can_reach(fleet, vm_id, command.address):
         lost = events.BackendFailed(command.attempt_id, AttemptFailure.NOT_SENT)
         fleet.post_to(world, lost, CONNECT_DELAY_S)
         return
@@ -411,11 +411,23 @@
 
 @fakes("ProbeServer")
 def probe_server(fleet: FakeFleet, vm_id: str, command: Any) -> None:
-    is_ok = fleet.servers[command.address].mode != "dead"
+    is_ok = can_reach(fleet, vm_id, command.address)
     event = events.ServerProbed(command.server_id, is_ok)
     fleet.post(vm_id, event, CONNECT_DELAY_S)
 
 
+@fakes("ProbeForPeer")
+def probe_for_peer(fleet: FakeFleet, vm_id: str, command: Any) -> None:
+    is_ok = can_reach(fleet, vm_id, command.address)
+    event = events.PeerProbed(command.asker_vm_id, command.server_id, is_ok)
+    fleet.post(vm_id, event, CONNECT_DELAY_S)
+
+
+def can_reach(fleet: FakeFleet, vm_id: str, address: str) -> bool:
+    is_cut = (vm_id, address) in fleet.cuts
+    return not is_cut and fleet.servers[address].mode != "dead"
+
+
 @fakes("ReadRow")
 def read_row(fleet: FakeFleet, vm_id: str, command: Any) -> None:
     def ask() -> Any:
--- a/burdockhitch/tests/test_repetition.py
+++ b/burdockhitch/tests/test_repetition.py
@@ -19,7 +19,7 @@
 
 
 def count_repetitions(fleet):
-    return sum(run.request_id.endswith("@repetition") for run in fleet.runs)
+    return sum(run.request_id.startswith("repetition:") for run in fleet.runs)
 
 
 @pytest.mark.parametrize(
--- a/burdockhitch/tests/test_sequences.py
+++ b/burdockhitch/tests/test_sequences.py
@@ -27,6 +27,8 @@
         pytest.param("a repeated message ran after its refusal", 3025),
         pytest.param("a stop cut off requests of the same tick", 99),
         pytest.param("a held-up message ran after it was forgotten", 349),
+        pytest.param("evidence grew for ever while no permit was free", 21240),
+        pytest.param("repetitions shared identities with requests", 20057),
         pytest.param("an idempotent request was refused after it ran", 1331),
     ],
 )
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -60,6 +60,8 @@
     latencies: Table[services.LatencyRow]
     backend_servers: Table[backend_servers.BackendServerRow]
     ownerships: Table[backend_servers.OwnershipRow]
+    disowns: Table[backend_servers.DisownRow]
+    reaches: Table[health_signals.ReachRow]
     slots: Table[backend_servers.SlotRow]
     capacities: Table[backend_servers.CapacityRow]
     health_signals: Table[health_signals.HealthRow]
@@ -121,6 +123,8 @@
         latencies=services.make_latencies(),
         backend_servers=backend_servers.make_backend_servers(),
         ownerships=backend_servers.make_ownerships(),
+        disowns=backend_servers.make_disowns(),
+        reaches=health_signals.make_reaches(),
         slots=backend_servers.make_slots(),
         capacities=backend_servers.make_capacities(),
         health_signals=health_signals.make_health_signals(),
