Let a former witness forget what it heard

Cause, found by reading: when a better witness joined, the former one kept the open requests it had heard of and would have reported them as lost whenever their VM died. Change: the former witness is told to forget. witness_changed: 5 requests falsely reported as lost without, 0 with. Conclusion: a loss that is reported was open at the death of its VM.

--- a/burdockhitch/systems/witness.py
+++ b/burdockhitch/systems/witness.py
@@ -69,6 +69,8 @@
     world.witnesses.put(DutyRow(WITNESS_DUTY, witness, version))
     if row is not None and row.vm_id == witness:
         return
+    if row is not None and row.vm_id:
+        release_witness(world, row.vm_id)
     opened = tuple(
         _open_request(world, request)
         for request in world.requests
@@ -78,6 +80,11 @@
         send_message(world, witness, Announce(opened, (), True))
 
 
+def release_witness(world: World, vm_id: str) -> None:
+    """Tell the former witness to forget what it heard."""
+    send_message(world, vm_id, Announce((), (), True))
+
+
 def _announce(
     world: World, opened: tuple[OpenRequest, ...], closed: tuple[str, ...]
 ) -> None:
--- a/burdockhitch/tests/cases_fleet.py
+++ b/burdockhitch/tests/cases_fleet.py
@@ -290,3 +290,28 @@
     fleet.resume("vk-a-0")
     fleet.run(10.0)
     return sum(len(fleet.alive(vm_id)) != 3 for vm_id in fleet.worlds)
+
+
+@case(
+    "witness_changed",
+    "lost requests are noticed",
+    "the witness changes while requests are open; they end, and their VM dies",
+    LeaveOut(witness, "release_witness", always(None)),
+)
+def former_witness_reports_nothing() -> int:
+    fleet = fleets.start_fleet(VASTKUST)
+    for server in fleet.servers.values():
+        server.service_time_s = 1.9
+    numbers = [
+        fleet.call("vk-a-0", "POST", "/plain", b"seat %d" % number)
+        for number in range(5)
+    ]
+    fleet.run(0.1)
+    for number in range(8):
+        fleet.add_vm(f"vk-b-x{number}", "vk-b")
+        fleet.run(0.1)
+    fleet.run(5.0)
+    assert len(fleet.replies.keys() & set(numbers)) == len(numbers)
+    fleet.kill("vk-a-0")
+    fleet.run(NOTICE_MAX_S)
+    return sum(command.event == "request_lost" for _vm_id, command in fleet.logs)
