--- a/burdockhitch/systems/claims.py
+++ b/burdockhitch/systems/claims.py
@@ -30,8 +30,8 @@
 )
 from burdockhitch.systems.home import fingerprint, record_id
 from burdockhitch.systems.timing import reply_handlers
+from burdockhitch.tables.operations import OperationRow
 from burdockhitch.tables.requests import RequestRow, RequestState
-from burdockhitch.tables.revisions import OperationRow
 from burdockhitch.world import World, count, send, start_operation
 
 CLAIMS_TABLE = "claims"
--- a/burdockhitch/systems/configuration.py
+++ b/burdockhitch/systems/configuration.py
@@ -16,7 +16,7 @@
 from burdockhitch.systems.permits import LISTING_READ
 from burdockhitch.systems.spread import apply_revision
 from burdockhitch.systems.timing import reply_handlers, timer_handlers
-from burdockhitch.tables.revisions import FailureRow, ListingRow, OperationRow
+from burdockhitch.tables.operations import FailureRow, ListingRow, OperationRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmStatus
 from burdockhitch.world import (
--- a/burdockhitch/systems/membership.py
+++ b/burdockhitch/systems/membership.py
@@ -30,7 +30,7 @@
 from burdockhitch.systems.routing import SILENCE_S
 from burdockhitch.systems.spread import note_revision
 from burdockhitch.systems.timing import message_handlers, timer_handlers
-from burdockhitch.tables.revisions import ProbeRow, RelayRow
+from burdockhitch.tables.probes import ProbeRow, RelayRow
 from burdockhitch.tables.services import LatencyRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmRow, VmStatus
--- a/burdockhitch/systems/permits.py
+++ b/burdockhitch/systems/permits.py
@@ -15,7 +15,7 @@
 from burdockhitch.systems.windows import floor_slots
 from burdockhitch.tables.ejection_permits import PermitRow, PermitUseRow
 from burdockhitch.tables.health_signals import HealthRow, ServerState
-from burdockhitch.tables.revisions import OperationRow
+from burdockhitch.tables.operations import OperationRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import (
     World,
--- a/burdockhitch/systems/timing.py
+++ b/burdockhitch/systems/timing.py
@@ -9,7 +9,7 @@
 from burdockhitch.messages import vm_messages
 from burdockhitch.registry import Registry
 from burdockhitch.systems.phases import Phase, system
-from burdockhitch.tables.revisions import OperationRow
+from burdockhitch.tables.operations import OperationRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import World, count, stop_timer, take_events
 
--- a/burdockhitch/systems/witness.py
+++ b/burdockhitch/systems/witness.py
@@ -12,14 +12,10 @@
 from burdockhitch.systems.ownership import hash_score
 from burdockhitch.systems.phases import Phase, system
 from burdockhitch.systems.timing import message_handlers, reply_handlers
-from burdockhitch.tables.requests import (
-    LostRow,
-    RequestRow,
-    RequestState,
-    WitnessedRow,
-)
-from burdockhitch.tables.revisions import ClosingRow, DutyRow, OperationRow
+from burdockhitch.tables.operations import OperationRow
+from burdockhitch.tables.requests import RequestRow, RequestState
 from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.tables.witnesses import ClosingRow, DutyRow, LostRow, WitnessedRow
 from burdockhitch.world import (
     World,
     count,
--- a/burdockhitch/tables/requests.py
+++ b/burdockhitch/tables/requests.py
@@ -157,44 +157,6 @@
     expires_at_s: float
 
 
-class WitnessedRow(NamedTuple):
-    """A non-idempotent request that another VM has open.
-
-    Attributes:
-        request_id: Request.
-        vm_id: VM that accepted it.
-        service: Service.
-        route_id: Route.
-        requester: Who asked for the route's rule.
-    """
-
-    request_id: str
-    vm_id: str
-    service: str
-    route_id: str
-    requester: str
-
-
-class LostRow(NamedTuple):
-    """A request whose VM died while it was open.
-
-    Attributes:
-        request_id: Request.
-        vm_id: VM that accepted it.
-        service: Service.
-        route_id: Route.
-        requester: Who asked for the route's rule.
-        noticed_at_s: Monotonic time of the finding.
-    """
-
-    request_id: str
-    vm_id: str
-    service: str
-    route_id: str
-    requester: str
-    noticed_at_s: float
-
-
 def make_requests() -> Table[RequestRow]:
     """Return an empty table of requests."""
     return Table(
@@ -227,13 +189,3 @@
 def make_home_records() -> Table[HomeRow]:
     """Return an empty table of home records."""
     return Table(HomeRow, key="record_id", orders=("expires_at_s",))
-
-
-def make_witnessed() -> Table[WitnessedRow]:
-    """Return an empty table of witnessed requests."""
-    return Table(WitnessedRow, key="request_id", indexes=("vm_id",))
-
-
-def make_lost() -> Table[LostRow]:
-    """Return an empty table of lost requests."""
-    return Table(LostRow, key="request_id")
--- a/burdockhitch/tests/fakes.py
+++ b/burdockhitch/tests/fakes.py
@@ -108,6 +108,7 @@
         self.is_traced = False
         self._queue: list[tuple[float, int, Any]] = []
         self._numbers = count(1)
+        self._connections = count(1)
         self._addresses: dict[str, str] = {}
 
     def add_vm(self, vm_id: str, zone: str, **sections: Any) -> World:
@@ -180,7 +181,7 @@
         account: str = "school",
     ) -> int:
         """Send a request as a caller and return its connection number."""
-        number = next(self._numbers)
+        number = next(self._connections)
         request = RequestMessage(method, path, (), body, account)
         if vm_id in self.closed:
             return number
@@ -191,7 +192,7 @@
 
     def ask_addresses(self, vm_id: str, service: str, zone: str = "") -> int:
         """Ask a VM for addresses and return the connection number."""
-        number = next(self._numbers)
+        number = next(self._connections)
         self.post(vm_id, events.AddressesAsked(number, service, "school", zone))
         return number
 
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -12,12 +12,15 @@
     health_signals,
     loads,
     mailboxes,
+    operations,
+    probes,
     requests,
     revisions,
     routes,
     services,
     timers,
     vms,
+    witnesses,
 )
 from burdockhitch.tables.table import Table
 
@@ -78,18 +81,18 @@
     ended: Table[requests.EndedRow]
     watermarks: Table[requests.WatermarkRow]
     home_records: Table[requests.HomeRow]
-    witnessed: Table[requests.WitnessedRow]
-    lost: Table[requests.LostRow]
+    witnessed: Table[witnesses.WitnessedRow]
+    lost: Table[witnesses.LostRow]
     timers: Table[timers.TimerRow]
     revisions: Table[revisions.RevisionRow]
     confirmations: Table[revisions.ConfirmationRow]
-    operations: Table[revisions.OperationRow]
-    probes: Table[revisions.ProbeRow]
-    relays: Table[revisions.RelayRow]
-    failures: Table[revisions.FailureRow]
-    witnesses: Table[revisions.DutyRow]
-    listings: Table[revisions.ListingRow]
-    closings: Table[revisions.ClosingRow]
+    operations: Table[operations.OperationRow]
+    probes: Table[probes.ProbeRow]
+    relays: Table[probes.RelayRow]
+    failures: Table[operations.FailureRow]
+    witnesses: Table[witnesses.DutyRow]
+    listings: Table[operations.ListingRow]
+    closings: Table[witnesses.ClosingRow]
     inbox: Table[mailboxes.InboxRow]
     outbox: Table[mailboxes.OutboxRow]
     counters: Table[mailboxes.CounterRow]
@@ -141,18 +144,18 @@
         ended=requests.make_ended(),
         watermarks=requests.make_watermarks(),
         home_records=requests.make_home_records(),
-        witnessed=requests.make_witnessed(),
-        lost=requests.make_lost(),
+        witnessed=witnesses.make_witnessed(),
+        lost=witnesses.make_lost(),
         timers=timers.make_timers(),
         revisions=revisions.make_revisions(),
         confirmations=revisions.make_confirmations(),
-        operations=revisions.make_operations(),
-        probes=revisions.make_probes(),
-        relays=revisions.make_relays(),
-        failures=revisions.make_failures(),
-        witnesses=revisions.make_witnesses(),
-        listings=revisions.make_listings(),
-        closings=revisions.make_closings(),
+        operations=operations.make_operations(),
+        probes=probes.make_probes(),
+        relays=probes.make_relays(),
+        failures=operations.make_failures(),
+        witnesses=witnesses.make_witnesses(),
+        listings=operations.make_listings(),
+        closings=witnesses.make_closings(),
         inbox=mailboxes.make_inbox(),
         outbox=mailboxes.make_outbox(),
         counters=mailboxes.make_counters(),
@@ -252,6 +255,6 @@
     """Record an operation on the platform and return its identity."""
     sequence = next_sequence(world, "operation")
     operation_id = f"{world.local.home_token()}.{sequence}"
-    row = revisions.OperationRow(operation_id, purpose, subject, now.monotonic_s)
+    row = operations.OperationRow(operation_id, purpose, subject, now.monotonic_s)
     world.operations.insert(row)
     return operation_id
