--- a/benchmarks/ejection.py
+++ b/benchmarks/ejection.py
@@ -36,14 +36,16 @@
     ]
 
 
-def _load(fleet: FakeFleet, rate_per_s: float, duration_s: float) -> float:
-    """Send look-ups until the victim is ejected; return the seconds."""
+def _load(
+    fleet: FakeFleet, rate_per_s: float, duration_s: float, watched: str = VICTIM
+) -> float:
+    """Send look-ups until the watched server is ejected; return the seconds."""
     names = sorted(fleet.worlds)
     started_s = fleet.clock.elapsed_s
     while fleet.clock.elapsed_s - started_s < duration_s:
         fleet.call(fleet.rng.choice(names), "GET", "/look")
         fleet.run(fleet.rng.expovariate(rate_per_s))
-        if VICTIM in ejected_servers(fleet):
+        if watched in ejected_servers(fleet):
             break
     return fleet.clock.elapsed_s - started_s
 
@@ -70,3 +72,34 @@
             yield Result("ejection", case, statistics.mean(values), "s")
         case = f"{name}, false ejections in {n_requests} requests"
         yield Result("ejection", case, n_false, "ejections", "0")
+
+
+BLIPS_S = (0.1, 0.3, 1.0)
+N_BLIPS = 30
+BLIP_PAUSE_S = 30.0
+
+
+def count_blip_ejections(
+    deployment: Deployment, rate_per_s: float, blip_s: float
+) -> int:
+    """Return how often a server is ejected that fails only for a moment."""
+    fleet = fleets.start_fleet(deployment)
+    _load(fleet, rate_per_s, WARM_UP_S)
+    addresses = sorted(fleet.servers)
+    for number in range(N_BLIPS):
+        server = fleet.servers[addresses[(number + 1) % len(addresses)]]
+        server.error_ratio = 1.0
+        _load(fleet, rate_per_s, blip_s, "")
+        server.error_ratio = 0.0
+        _load(fleet, rate_per_s, BLIP_PAUSE_S, "")
+    return len(ejected_servers(fleet))
+
+
+@benchmarks("blips")
+def measure_blips() -> Iterator[Result]:
+    """Measure ejections of servers that fail for a moment."""
+    for name, (deployment, rate_per_s) in LOADS_PER_S.items():
+        for blip_s in BLIPS_S:
+            n_ejections = count_blip_ejections(deployment, rate_per_s, blip_s)
+            case = f"{name} at {rate_per_s:.0f}/s, {blip_s} s, {N_BLIPS} times"
+            yield Result("blips", case, n_ejections, "ejections")
--- a/burdockhitch/systems/health.py
+++ b/burdockhitch/systems/health.py
@@ -72,7 +72,7 @@
         threshold=10.7,
         late_multiple=1.8,
         n_consecutive=3,
-        repetition_s=0.02,
+        repetition_s=0.1,
     )
 )
 profiles("few_false_ejections")(
