Wait until every VM serves before the tests begin

Cause: a full run failed once (1 of 308): the fleet starter held a VM for ready that had the revision by gossip but had not confirmed it yet, so the first request was refused as not run, which is right. Change: ready means confirmed too; no check of a test changed. Conclusion: the flaw was in the starter; a whole run has not followed.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -240,11 +240,12 @@
 
 
 def is_ready(vm: RunningVm, n_vms: int, revision: int) -> bool:
-    """Return whether a VM has a revision and sees the whole fleet."""
+    """Return whether a VM serves a revision and sees the whole fleet."""
     tables = ask_json(vm.admin_address, "/state")["tables"]
     alive = [row for row in tables["vms"] if row["status"] == "alive"]
     numbers = [row["number"] for row in tables["revisions"]]
-    return len(alive) == n_vms and numbers == [revision]
+    is_confirmed = {"source": "confirmed"} in tables["confirmations"]
+    return len(alive) == n_vms and numbers == [revision] and is_confirmed
 
 
 @contextlib.contextmanager
