--- a/burdockhitch/adapters/callers.py
+++ b/burdockhitch/adapters/callers.py
@@ -1,17 +1,16 @@
 """HTTP towards callers."""
 
-import io
 from itertools import count
 from typing import Any
 
 import msgspec
 from klein import Klein
 from twisted.internet.defer import Deferred
-from twisted.web.http import Request as HttpRequest
-from twisted.web.server import Request, Site
+from twisted.web.server import Site
 
 from burdockhitch import commands, events
 from burdockhitch.adapters import headers
+from burdockhitch.adapters.bodies import BoundedRequest
 from burdockhitch.adapters.process import Process, senders
 from burdockhitch.errors import BodyTooLargeError, error_name
 from burdockhitch.messages import Refusal, RequestMessage
@@ -23,26 +22,6 @@
 PROXY_NAME = "burdockhitch"
 
 
-class BoundedRequest(Request):
-    """A request whose body stays in memory and below a bound."""
-
-    body_max_bytes = 0
-    is_too_large = False
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Prepare for the body without a file."""
-        HttpRequest.gotLength(self, 0)
-        self.content = io.BytesIO()
-        self.is_too_large = (length or 0) > self.body_max_bytes
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Keep a part of the body unless it is too large."""
-        if self.content.tell() + len(data) > self.body_max_bytes:
-            self.is_too_large = True
-        if not self.is_too_large:
-            self.content.write(data)
-
-
 class CallerFront:
     """Turns callers' requests into events.
 
--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -7,12 +7,12 @@
 from typing import Any
 
 import treq.client
-from twisted.internet.endpoints import serverFromString
 from twisted.web.server import Site
 
 from burdockhitch import commands, events, log, systems
 from burdockhitch.adapters import callers, links, platform, servers
 from burdockhitch.adapters.admin import AdminFront
+from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
 from burdockhitch.adapters.loop import Ticker
 from burdockhitch.adapters.process import Process, senders
 from burdockhitch.adapters.state import encode_state
@@ -28,7 +28,6 @@
 
 # Importing these modules fills the registries of senders and systems.
 REGISTERED_MODULES = (callers, links, platform, servers, systems)
-EXIT_DELAY_S = 0.2
 
 
 @senders("LogEvent")
@@ -79,27 +78,6 @@
     return treq.client.HTTPClient(servers.make_agent(reactor, timeout_s))
 
 
-def listen(reactor: Any, address: str, site: Site, ports: list[Any]) -> None:
-    """Listen on ``ip:port``; the process ends if that fails.
-
-    Args:
-        reactor: Twisted reactor.
-        address: Where to listen.
-        site: What to serve.
-        ports: Gets the listening port.
-    """
-    host, _, port = address.rpartition(":")
-    endpoint = serverFromString(reactor, f"tcp:{port}:interface={host}")
-
-    def fail(failure: Any) -> None:
-        log.write_event(
-            "ERROR", "listen_failed", {"address": address, "error": str(failure.value)}
-        )
-        reactor.stop()
-
-    endpoint.listen(site).addCallbacks(ports.append, fail)
-
-
 def _handle_signals(process: Process) -> None:
     # A signal handler runs on the loop's own thread, between two instructions;
     # callFromThread is the call that also wakes the loop from its wait.
--- /dev/null
+++ b/burdockhitch/adapters/datagrams.py
@@ -0,0 +1,80 @@
+"""Messages between VMs as datagrams.
+
+ZeroMQ over TCP doesn't fit here: after a partition its connections stay silent
+until TCP tries again, seconds later, and evidence is worth nothing by then. A
+lost datagram costs little, since every heartbeat repeats what matters.
+"""
+
+from typing import Any
+
+import msgspec
+from twisted.internet.protocol import DatagramProtocol
+
+from burdockhitch import commands, events
+from burdockhitch.adapters.codec import decode_message, encode_message
+from burdockhitch.errors import MessageError, MessageFormatError, error_name
+from burdockhitch.world import World, count
+
+DATAGRAM_MAX_BYTES = 60_000
+_decoder = msgspec.msgpack.Decoder(list[bytes])
+
+
+def pack_message(fleet: str, sender_vm_id: str, message: Any) -> bytes:
+    """Return a message as one datagram."""
+    return msgspec.msgpack.encode(encode_message(fleet, sender_vm_id, message))
+
+
+def unpack_frames(datagram: bytes) -> list[bytes]:
+    """Return the frames of a datagram.
+
+    Raises:
+        MessageFormatError: If it does not hold frames.
+    """
+    try:
+        return _decoder.decode(datagram)
+    except msgspec.MsgspecError as error:
+        raise MessageFormatError(str(error)) from None
+
+
+class Datagrams(DatagramProtocol):
+    """The socket towards the other VMs.
+
+    Args:
+        world: Tables of this VM, for counters and settings.
+        post: Puts an event into the inbox and requests a tick.
+    """
+
+    def __init__(self, world: World, post: Any) -> None:
+        self._world = world
+        self._post = post
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        """Post a message, or count it as dropped."""
+        fleet = self._world.settings.fleet.name
+        try:
+            frames = unpack_frames(datagram)
+            envelope = decode_message(fleet, frames, DATAGRAM_MAX_BYTES)
+        except MessageError as error:
+            count(self._world, "messages_dropped", "reason", error_name(error))
+            return
+        count(self._world, "messages_received", "kind", frames[3].decode())
+        self._post(events.VmMessageArrived(envelope.sender_vm_id, envelope.message))
+
+    def send(self, command: commands.BroadcastMessage) -> None:
+        """Send one message to each address."""
+        settings = self._world.settings
+        datagram = pack_message(settings.fleet.name, settings.vm.vm_id, command.message)
+        if len(datagram) > DATAGRAM_MAX_BYTES or self.transport is None:
+            count(self._world, "messages_dropped", "reason", "unsendable")
+            return
+        transport: Any = self.transport
+        for address in command.message_addresses:
+            host, _, port = address.rpartition(":")
+            try:
+                transport.write(datagram, (host, int(port)))
+            except OSError as error:
+                reason = type(error).__name__
+                count(self._world, "messages_dropped", "reason", reason)
+                continue
+            n_bytes = len(datagram)
+            count(self._world, "message_bytes_sent", n_events=n_bytes)
--- a/burdockhitch/adapters/headers.py
+++ b/burdockhitch/adapters/headers.py
@@ -28,16 +28,25 @@
 HeaderPairs = tuple[tuple[str, str], ...]
 
 
+def decode_pairs(raw: Iterable[tuple[bytes, bytes]]) -> HeaderPairs:
+    """Return all headers with their names in lower case."""
+    return tuple(
+        (name.decode("ascii").lower(), value.decode("latin-1")) for name, value in raw
+    )
+
+
 def decode_headers(raw: Iterable[tuple[bytes, list[bytes]]]) -> HeaderPairs:
-    """Return the end-to-end headers in lower case.
+    """Return the end-to-end headers in lower case."""
+    return drop_hop_by_hop(
+        decode_pairs((name, value) for name, values in raw for value in values)
+    )
+
+
+def drop_hop_by_hop(pairs: HeaderPairs) -> HeaderPairs:
+    """Return the end-to-end headers.
 
     Headers that ``Connection`` names are hop-by-hop too (RFC 9110, 7.6.1).
     """
-    pairs = [
-        (name.decode("ascii").lower(), value.decode("latin-1"))
-        for name, values in raw
-        for value in values
-    ]
     named = {
         token.strip().lower()
         for name, value in pairs
--- /dev/null
+++ b/burdockhitch/adapters/listening.py
@@ -0,0 +1,32 @@
+"""Listening sockets of a daemon."""
+
+from typing import Any
+
+from twisted.internet.endpoints import serverFromString
+from twisted.web.server import Site
+
+from burdockhitch import log
+
+# Lets the last answers leave before the process ends.
+EXIT_DELAY_S = 0.2
+
+
+def listen(reactor: Any, address: str, site: Site, ports: list[Any]) -> None:
+    """Listen on ``ip:port``; the process ends if that fails.
+
+    Args:
+        reactor: Twisted reactor.
+        address: Where to listen.
+        site: What to serve.
+        ports: Gets the listening port.
+    """
+    host, _, port = address.rpartition(":")
+    endpoint = serverFromString(reactor, f"tcp:{port}:interface={host}")
+
+    def fail(failure: Any) -> None:
+        log.write_event(
+            "ERROR", "listen_failed", {"address": address, "error": str(failure.value)}
+        )
+        reactor.stop()
+
+    endpoint.listen(site).addCallbacks(ports.append, fail)
--- a/burdockhitch/adapters/loop.py
+++ b/burdockhitch/adapters/loop.py
@@ -54,7 +54,11 @@
         outbox = self._world.outbox
         for row in outbox:
             outbox.remove(row.sequence)
-            self._deliver(row.kind, row.command)
+            try:
+                self._deliver(row.kind, row.command)
+            except Exception:
+                logger.exception("command_failed")
+                count(self._world, "commands_failed", "kind", row.kind)
 
     def _plan_timer(self) -> None:
         if self._timer is not None and self._timer.active():
--- a/burdockhitch/clock.py
+++ b/burdockhitch/clock.py
@@ -9,7 +9,8 @@
     """One reading of both clocks.
 
     Attributes:
-        monotonic_s: Seconds on the monotonic clock, for deadlines and timers.
+        monotonic_s: Seconds on a clock that never steps and counts the time in
+            which the machine is suspended, for deadlines and timers.
         utc: Wall-clock time with its time zone, for rule windows and logs.
     """
 
@@ -29,4 +30,4 @@
 
     def now(self) -> Instant:
         """Return the current reading."""
-        return Instant(time.monotonic(), datetime.now(UTC))
+        return Instant(time.clock_gettime(time.CLOCK_BOOTTIME), datetime.now(UTC))
--- a/burdockhitch/command.py
+++ b/burdockhitch/command.py
@@ -20,6 +20,7 @@
     RulesFileError,
     SettingsError,
 )
+from burdockhitch.front_ends import DEFAULT_FRONT_END, front_ends
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -96,13 +97,18 @@
 
 @app.command()
 def serve(
-    settings: Annotated[Path, typer.Option(help="INI file with the VM's settings.")],
+    settings: Annotated[
+        Path,
+        typer.Option(
+            help="INI file with the VM's settings.", envvar="BURDOCKHITCH_NODE_FILE"
+        ),
+    ],
+    front_end: Annotated[
+        str, typer.Option(help="How it meets callers and platform.")
+    ] = DEFAULT_FRONT_END,
 ) -> None:
     """Run the daemon of an entry VM."""
-    from burdockhitch.adapters.daemon import run_daemon
-    from burdockhitch.settings import read_settings
-
-    run_daemon(read_settings(settings))
+    front_ends[front_end](settings)
 
 
 @app.command("check-settings")
--- a/burdockhitch/commands.py
+++ b/burdockhitch/commands.py
@@ -3,6 +3,8 @@
 from typing import Any, NamedTuple
 
 from burdockhitch.messages import Answer, Refusal, RequestMessage
+from burdockhitch.tables.registry_views import Subject
+from burdockhitch.tables.vms import VmRow
 
 
 class AnswerCaller(NamedTuple):
@@ -54,13 +56,25 @@
 
 
 class SendAttempt(NamedTuple):
-    """Send a request to a backend server."""
+    """Send a request to a backend server.
+
+    Attributes:
+        attempt_id: Attempt, for the event that ends it.
+        request_id: Identity of the request.
+        address: ``ip:port`` of the backend server.
+        request: What the caller asked.
+        timeout_s: Time after which nobody waits for the answer.
+        server_id: Backend server that must take it; empty for any.
+        is_idempotent: Whether it may run more than once.
+    """
 
     attempt_id: int
     request_id: str
     address: str
     request: RequestMessage
     timeout_s: float
+    server_id: str = ""
+    is_idempotent: bool = True
 
 
 class CancelAttempt(NamedTuple):
@@ -183,3 +197,61 @@
 
 class StopProcess(NamedTuple):
     """End the process."""
+
+
+class ReadRegistry(NamedTuple):
+    """Read a part of the platform's registry.
+
+    Attributes:
+        operation_id: Read, for the event that ends it.
+        subject: Part of the registry.
+        after_version: Wait for changes after this version; 0 reads the whole.
+        wait_s: Longest wait for a change.
+    """
+
+    operation_id: str
+    subject: Subject
+    after_version: int
+    wait_s: float
+
+
+class ReadSnapshot(NamedTuple):
+    """Read what another VM holds of the registry.
+
+    Attributes:
+        operation_id: Read, for the event that ends it.
+        admin_address: ``ip:port`` of the VM.
+        configuration_version: Version already held here.
+        servers_version: Version already held here.
+    """
+
+    operation_id: str
+    admin_address: str
+    configuration_version: int
+    servers_version: int
+
+
+class WriteVm(NamedTuple):
+    """Write the row of this VM to the platform's registry."""
+
+    operation_id: str
+    row: VmRow
+
+
+class RemoveVms(NamedTuple):
+    """Remove rows of VMs that are gone from the platform's registry."""
+
+    operation_id: str
+    vm_ids: tuple[str, ...]
+
+
+class BroadcastMessage(NamedTuple):
+    """Send one message to several VMs.
+
+    Attributes:
+        message_addresses: ``ip:port`` of each receiver.
+        message: One of ``burdockhitch.messages.vm_messages``.
+    """
+
+    message_addresses: tuple[str, ...]
+    message: Any
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -244,6 +244,35 @@
     """The platform has no such row or object."""
 
 
+class PlatformHistoryGoneError(PlatformError):
+    """The platform no longer has the changes after the version asked for."""
+
+
+class PlatformBusyError(PlatformUnavailableError):
+    """The platform turned the call away and did nothing."""
+
+
+class DocumentError(BurdockhitchError):
+    """A document of the platform is malformed.
+
+    Args:
+        name: What it describes, or its key.
+        reason: What is wrong with it.
+    """
+
+    def __init__(self, name: str, reason: str) -> None:
+        super().__init__(name, reason)
+        self.name = name
+        self.reason = reason
+
+    def __str__(self) -> str:
+        return f"{self.name}: {self.reason}"
+
+
+class SnapshotError(BurdockhitchError):
+    """A peer's copy of the registry can't be read."""
+
+
 class RequestRefusedError(BurdockhitchError):
     """Base of the refusals that callers see.
 
--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from burdockhitch.messages import Answer, RequestMessage
+from burdockhitch.messages import Answer, RequestMessage, Snapshot
 
 
 class AttemptFailure(StrEnum):
@@ -13,9 +13,12 @@
     SHED = "shed"
     TIMED_OUT = "timed_out"
     BROKEN = "broken"
+    MISDIRECTED = "misdirected"
 
 
-NOT_RUN_FAILURES = frozenset({AttemptFailure.NOT_SENT, AttemptFailure.SHED})
+NOT_RUN_FAILURES = frozenset(
+    {AttemptFailure.NOT_SENT, AttemptFailure.SHED, AttemptFailure.MISDIRECTED}
+)
 
 
 class CallerRequestArrived(NamedTuple):
@@ -161,3 +164,72 @@
     asker_vm_id: str
     server_id: str
     is_ok: bool
+
+
+class HostRequestArrived(NamedTuple):
+    """A caller sent a whole request that a host and a path route.
+
+    Attributes:
+        connection_id: Caller's connection.
+        caller_request_id: Identity that the caller gave it.
+        request: What the caller asked.
+        remaining_s: Time the caller waits; infinite when it does not say.
+    """
+
+    connection_id: int
+    caller_request_id: str
+    request: RequestMessage
+    remaining_s: float
+
+
+class RegistryRead(NamedTuple):
+    """The platform's registry, or a peer's copy of it, was read, or was not.
+
+    Attributes:
+        operation_id: Read that ended.
+        error: Type of the failure, None for success.
+        version: Version of what was read.
+        is_whole: Whether rows that are missing are gone.
+        rows: New and changed rows: ``BackendServerRow``, ``VmRow`` or
+            ``ConfigurationDocument``.
+        removed: Primary keys of rows that are gone.
+    """
+
+    operation_id: str
+    error: type[Exception] | None
+    version: int = 0
+    is_whole: bool = False
+    rows: tuple[Any, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class SnapshotRead(NamedTuple):
+    """A peer's copy of the registry was read, or was not.
+
+    Attributes:
+        operation_id: Read that ended.
+        error: Type of the failure, None for success.
+        snapshot: What the peer holds.
+    """
+
+    operation_id: str
+    error: type[Exception] | None
+    snapshot: Snapshot | None = None
+
+
+class RowWritten(NamedTuple):
+    """A row of this VM was written to the registry, or was not.
+
+    Attributes:
+        operation_id: Write that ended.
+        error: Type of the failure, None for success.
+    """
+
+    operation_id: str
+    error: type[Exception] | None
+
+
+class NewerVersionHeard(NamedTuple):
+    """Another VM holds newer parts of the registry than this one."""
+
+    vm_id: str
--- a/burdockhitch/messages.py
+++ b/burdockhitch/messages.py
@@ -3,6 +3,9 @@
 from typing import Any, NamedTuple
 
 from burdockhitch.registry import Registry
+from burdockhitch.tables.backend_servers import BackendServerRow
+from burdockhitch.tables.registry_views import ConfigurationDocument
+from burdockhitch.tables.vms import VmRow
 
 vm_messages: Registry[Any] = Registry("message between VMs")
 
@@ -16,6 +19,7 @@
         headers: Names in lower case and values, without hop-by-hop ones.
         body: Whole body.
         account: Caller account.
+        host: Host that the caller asked for, empty when it does not matter.
     """
 
     method: str
@@ -23,6 +27,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     account: str
+    host: str = ""
 
 
 class Answer(NamedTuple):
@@ -352,3 +357,66 @@
 
     server_id: str
     duration_s: float
+
+
+class Snapshot(NamedTuple):
+    """A VM's copy of the registry; parts that the reader holds are left out.
+
+    Attributes:
+        configuration: Configuration in force, if it is newer.
+        servers_version: Version of the backend servers.
+        servers: All backend servers, if they are newer.
+        vms: VMs that the sender knows.
+    """
+
+    configuration: ConfigurationDocument | None
+    servers_version: int
+    servers: tuple[BackendServerRow, ...] | None
+    vms: tuple[VmRow, ...]
+
+
+class ServerLoad(NamedTuple):
+    """Requests in flight from the sender to a backend server."""
+
+    server_id: str
+    n_in_flight: int
+
+
+class Observation(NamedTuple):
+    """What one attempt showed about a backend server.
+
+    Attributes:
+        server_id: Backend server.
+        kind: Name of a registered kind of observation.
+    """
+
+    server_id: str
+    kind: str
+
+
+@vm_messages("heartbeat")
+class Heartbeat(NamedTuple):
+    """The sender lives.
+
+    Attributes:
+        row: The sender's own row.
+        loads: Its requests in flight.
+        is_answer_wanted: Whether the receiver should answer with its own.
+    """
+
+    row: VmRow
+    loads: tuple[ServerLoad, ...]
+    is_answer_wanted: bool = False
+
+
+@vm_messages("report")
+class Report(NamedTuple):
+    """What the sender observed and has in flight.
+
+    Attributes:
+        observations: Observations since the last report.
+        loads: Its requests in flight, None when they are left out.
+    """
+
+    observations: tuple[Observation, ...]
+    loads: tuple[ServerLoad, ...] | None
--- /dev/null
+++ b/burdockhitch/platform/callers.py
@@ -0,0 +1,234 @@
+"""HTTP towards callers on the platform: requests, addresses and readiness."""
+
+import math
+from typing import Any, NamedTuple
+
+import msgspec
+from klein import Klein
+from twisted.internet.defer import Deferred
+from twisted.web.http import HTTPChannel
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+from burdockhitch import commands, events
+from burdockhitch.adapters import headers
+from burdockhitch.adapters.bodies import BoundedRequest
+from burdockhitch.messages import RequestMessage
+from burdockhitch.platform import names
+from burdockhitch.platform.documents import WireAddresses
+from burdockhitch.platform.process import PlatformProcess, senders
+from burdockhitch.problems import make_document, problems
+from burdockhitch.systems.direct.membership import is_leaving
+from burdockhitch.tables.vms import VmStatus
+
+BODY_MAX_BYTES = 64 * 1024 * 1024
+# Larger than any configuration allows, so that only its own bound counts.
+HEADER_MAX_BYTES = 256 * 1024
+IDLE_TIMEOUT_S = 60
+STATUS_UNAVAILABLE = 503
+STATUS_BAD_REQUEST = 400
+STATUS_TOO_LARGE = 413
+
+
+class CallerChannel(HTTPChannel):
+    """A caller's connection with room for the platform's header bounds."""
+
+    totalHeadersSize = HEADER_MAX_BYTES
+    MAX_LENGTH = HEADER_MAX_BYTES
+
+
+class CallerHttpRequest(BoundedRequest):
+    """A caller's request."""
+
+    body_max_bytes = BODY_MAX_BYTES
+    defaultContentType = None
+
+
+class CallerFront(Resource):
+    """Turns callers' requests into events.
+
+    Args:
+        process: Parts of the process.
+    """
+
+    isLeaf = True
+
+    def __init__(self, process: PlatformProcess) -> None:
+        super().__init__()
+        self._process = process
+
+    def render(self, request: Any) -> Any:
+        """Take a request of any method."""
+        if request.is_too_large:
+            request.setResponseCode(STATUS_TOO_LARGE)
+            return b""
+        message = _make_message(request)
+        request_id = headers.find_header(message.headers, names.REQUEST_ID)
+        if not request_id or not message.host:
+            request.setResponseCode(STATUS_BAD_REQUEST)
+            return b""
+        number = _open(self._process, request)
+        event = events.HostRequestArrived(
+            number, request_id, message, _remaining_s(message.headers)
+        )
+        self._process.ticker.post(event)
+        return NOT_DONE_YET
+
+
+class OpenRequest(NamedTuple):
+    """A request that waits for its answer.
+
+    Attributes:
+        request: Twisted's request.
+        finished: Fires with the body, where the router writes the answer.
+    """
+
+    request: Any
+    finished: Deferred[bytes] | None
+
+
+def _open(
+    process: PlatformProcess, request: Any, finished: Deferred[bytes] | None = None
+) -> int:
+    number = next(process.numbers)
+    process.callers[number] = OpenRequest(request, finished)
+
+    def close(_reason: Any) -> None:
+        if process.callers.pop(number, None) is not None:
+            process.ticker.post(events.CallerGone(number))
+
+    request.notifyFinish().addErrback(close)
+    return number
+
+
+def _remaining_s(pairs: headers.HeaderPairs) -> float:
+    text = headers.find_header(pairs, names.DEADLINE)
+    return int(text) / 1000 if text.isdecimal() else math.inf
+
+
+def _make_message(request: Any) -> RequestMessage:
+    host = request.requestHeaders.getRawHeaders("host", [""])[0]
+    return RequestMessage(
+        method=request.method.decode("ascii", "replace"),
+        path=request.uri.decode("latin-1"),
+        headers=headers.decode_headers(request.requestHeaders.getAllRawHeaders()),
+        body=request.content.getvalue(),
+        account="",
+        host=host.partition(":")[0].lower(),
+    )
+
+
+def _take(process: PlatformProcess, connection_id: int) -> OpenRequest | None:
+    opened: OpenRequest | None = process.callers.pop(connection_id, None)
+    if opened is not None and is_leaving(process.world):
+        opened.request.setHeader("connection", "close")
+        opened.request.channel.persistent = False
+    return opened
+
+
+def _finish(opened: OpenRequest, body: bytes) -> None:
+    request = opened.request
+    request.setHeader("content-length", str(len(body)))
+    if opened.finished is not None:
+        opened.finished.callback(body)
+        return
+    request.write(body)
+    request.finish()
+
+
+@senders("AnswerCaller")
+def send_answer(process: PlatformProcess, command: commands.AnswerCaller) -> None:
+    """Write a whole answer as the backend server gave it."""
+    opened = _take(process, command.connection_id)
+    if opened is None:
+        return
+    request = opened.request
+    answer = command.answer
+    request.setResponseCode(answer.status)
+    for name, value in answer.headers:
+        request.responseHeaders.addRawHeader(name, value.encode("latin-1"))
+    _finish(opened, answer.body)
+
+
+@senders("RefuseCaller")
+def send_refusal(process: PlatformProcess, command: commands.RefuseCaller) -> None:
+    """Write a problem document; the status says whether the request ran."""
+    opened = _take(process, command.connection_id)
+    if opened is None:
+        return
+    request = opened.request
+    refusal = command.refusal
+    request.setResponseCode(int(problems[refusal.error].status))
+    request.setHeader("content-type", "application/problem+json")
+    if refusal.retry_after_s:
+        request.setHeader(names.RETRY_AFTER, f"{refusal.retry_after_s:.3f}")
+    document = make_document(refusal, command.request_id)
+    _finish(opened, msgspec.json.encode(document))
+
+
+@senders("OfferAddresses")
+def send_offers(process: PlatformProcess, command: commands.OfferAddresses) -> None:
+    """Write which addresses to use."""
+    opened = _take(process, command.connection_id)
+    if opened is None:
+        return
+    request = opened.request
+    if not command.offers:
+        request.setResponseCode(STATUS_UNAVAILABLE)
+        _finish(opened, b"")
+        return
+    request.setHeader("content-type", "application/json")
+    addresses = [offer.address for offer in command.offers]
+    document = WireAddresses(addresses=addresses, ttlS=command.keep_s)
+    _finish(opened, msgspec.json.encode(document))
+
+
+class DirectoryFront:
+    """Answers callers that ask for addresses, and the platform's checks.
+
+    Args:
+        process: Parts of the process.
+    """
+
+    app = Klein()
+
+    def __init__(self, process: PlatformProcess) -> None:
+        self._process = process
+
+    @app.route(names.RESOLVE_PATH, methods=["GET"])
+    def resolve(self, request: Any) -> Any:
+        """Answer which addresses to use for a host."""
+        host = _argument(request, b"name")
+        zone = _argument(request, b"zone")
+        finished: Deferred[bytes] = Deferred()
+        number = _open(self._process, request, finished)
+        self._process.ticker.post(events.AddressesAsked(number, host, "", zone))
+        return finished
+
+    @app.route(names.READY_PATH, methods=["GET"])
+    def ready(self, request: Any) -> bytes:
+        """Answer whether this VM can serve."""
+        world = self._process.world
+        own = world.vms.fetch(world.local.vm_id)
+        is_ready = own.is_ready and own.status is VmStatus.ALIVE
+        if not is_ready:
+            request.setResponseCode(STATUS_UNAVAILABLE)
+        return b""
+
+
+def _argument(request: Any, name: bytes) -> str:
+    return str((request.args.get(name) or [b""])[0].decode("ascii", "replace"))
+
+
+def make_front_site(process: PlatformProcess) -> Site:
+    """Return the factory of the callers' listener."""
+    site = Site(
+        CallerFront(process), requestFactory=CallerHttpRequest, timeout=IDLE_TIMEOUT_S
+    )
+    site.protocol = CallerChannel
+    return site
+
+
+def make_directory_site(process: PlatformProcess) -> Site:
+    """Return the factory of the listeners for addresses and readiness."""
+    return Site(DirectoryFront(process).app.resource(), timeout=IDLE_TIMEOUT_S)
--- /dev/null
+++ b/burdockhitch/platform/daemon.py
@@ -0,0 +1,145 @@
+"""The daemon of an entry VM on the platform."""
+
+import gc
+import random
+import signal
+import sys
+from itertools import count
+from typing import Any
+
+import treq.client
+from twisted.web.server import Site
+
+from burdockhitch import commands, events, log
+from burdockhitch.adapters.datagrams import Datagrams
+from burdockhitch.adapters.exchange import ExchangePool
+from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
+from burdockhitch.adapters.loop import Ticker
+from burdockhitch.adapters.servers import make_agent
+from burdockhitch.adapters.state import encode_state
+from burdockhitch.clock import SystemClock
+from burdockhitch.platform import backends, callers, peers, store
+from burdockhitch.platform.process import PlatformProcess, senders
+from burdockhitch.settings import Settings
+from burdockhitch.systems import direct
+from burdockhitch.systems.direct.membership import start_membership
+from burdockhitch.systems.direct.reading import start_reading
+from burdockhitch.world import World, make_world
+
+# Importing these modules fills the registries of senders and systems.
+REGISTERED_MODULES = (backends, callers, direct, peers, store)
+
+
+@senders("LogEvent")
+def write_log(_process: PlatformProcess, command: commands.LogEvent) -> None:
+    """Write a line to the log."""
+    log.write_event(command.level, command.event, command.fields)
+
+
+@senders("BroadcastMessage")
+def broadcast(process: PlatformProcess, command: commands.BroadcastMessage) -> None:
+    """Send a message to several VMs."""
+    process.datagrams.send(command)
+
+
+@senders("CloseListeners")
+def close_listeners(
+    process: PlatformProcess, _command: commands.CloseListeners
+) -> None:
+    """Stop to take connections."""
+    for port in process.ports:
+        port.stopListening()
+    process.ports.clear()
+
+
+@senders("StopProcess")
+def stop_process(process: PlatformProcess, _command: commands.StopProcess) -> None:
+    """End the process after the last answers were written."""
+    process.reactor.callLater(EXIT_DELAY_S, process.reactor.stop)
+
+
+def make_process(world: World, reactor: Any) -> PlatformProcess:
+    """Return the parts of a process around its tables."""
+
+    def deliver(kind: str, command: Any) -> None:
+        senders[kind](process, command)
+
+    ticker = Ticker(world, reactor, deliver)
+    server_settings = world.settings.backend_servers
+    pool = ExchangePool(
+        reactor,
+        lambda: world.clock.now().monotonic_s,
+        server_settings.connect_timeout_s,
+        server_settings.answer_max_bytes,
+    )
+    agent = make_agent(reactor, world.settings.platform.timeout_s)
+    process = PlatformProcess(
+        world=world,
+        reactor=reactor,
+        ticker=ticker,
+        callers={},
+        attempts={},
+        pool=pool,
+        http_client=treq.client.HTTPClient(agent),
+        datagrams=Datagrams(world, ticker.post),
+        ports=[],
+        numbers=count(1),
+    )
+    return process
+
+
+def _listen(process: PlatformProcess) -> None:
+    settings = process.world.settings
+    reactor, ports = process.reactor, process.ports
+    host, _, port = settings.vm.message_address.rpartition(":")
+    reactor.listenUDP(int(port), process.datagrams, interface=host)
+    admin = peers.PeerFront(process.world)
+    listen(reactor, settings.vm.admin_address, Site(admin.app.resource()), ports)
+    directory = callers.make_directory_site(process)
+    for address in {
+        settings.direct.directory_address,
+        settings.direct.readiness_address,
+    }:
+        listen(reactor, address, directory, ports)
+    front = callers.make_front_site(process)
+    listen(reactor, settings.vm.caller_address, front, ports)
+
+
+def _handle_signals(process: PlatformProcess) -> None:
+    # A signal handler runs on the loop's own thread, between two instructions;
+    # callFromThread is the call that also wakes the loop from its wait.
+    def stop(_number: int, _frame: Any) -> None:
+        process.reactor.callFromThread(process.ticker.post, events.StopRequested())
+
+    def dump(_number: int, _frame: Any) -> None:
+        state = encode_state(process.world).decode()
+        process.reactor.callFromThread(sys.stderr.write, state + "\n")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGUSR1, dump)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+def run_platform_daemon(settings: Settings) -> None:
+    """Run until the VM has left the fleet.
+
+    Args:
+        settings: Checked settings.
+    """
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    log.configure_log(settings.log.level, settings.vm.vm_id)
+    world = make_world(settings, SystemClock(), random.Random())
+    process = make_process(world, loop)
+    now = world.clock.now()
+    start_membership(world, now)
+    start_reading(world, now)
+    _listen(process)
+    process.ticker.request_tick()
+    loop.callWhenRunning(_handle_signals, process)
+    # Modules stay until the end; the collector need not look at them again.
+    gc.freeze()
+    log.write_event("INFO", "started", {"incarnation": world.local.incarnation})
+    loop.run(installSignalHandlers=False)
--- /dev/null
+++ b/burdockhitch/platform/peers.py
@@ -0,0 +1,84 @@
+"""Copies of the registry between VMs, over HTTP on the admin address."""
+
+from typing import Any
+from urllib.parse import urlencode
+
+import msgspec
+import treq
+from klein import Klein
+from twisted.python.failure import Failure
+
+from burdockhitch import commands, events
+from burdockhitch.adapters.admin import AdminFront
+from burdockhitch.errors import SnapshotError
+from burdockhitch.messages import Snapshot
+from burdockhitch.platform import names
+from burdockhitch.platform.process import PlatformProcess, senders
+from burdockhitch.systems.direct.snapshots import make_snapshot
+from burdockhitch.world import World
+
+TIMEOUT_S = 1.0
+STATUS_OK = 200
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Snapshot)
+
+
+class PeerFront:
+    """Answers other VMs that copy the registry, and operators.
+
+    Args:
+        world: Tables of this VM.
+    """
+
+    app = Klein()
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._admin = AdminFront(world).app.resource()
+
+    @app.route(names.SNAPSHOT_PATH, methods=["GET"])
+    def snapshot(self, request: Any) -> bytes:
+        """Return what is newer here than the versions in the query."""
+        snapshot = make_snapshot(
+            self._world,
+            _version(request, b"configuration"),
+            _version(request, b"servers"),
+        )
+        return _encoder.encode(snapshot)
+
+    @app.route("/", branch=True)
+    def admin(self, request: Any) -> Any:
+        """Hand all else to the operators' interface."""
+        return self._admin
+
+
+def _version(request: Any, name: bytes) -> int:
+    text = (request.args.get(name) or [b"0"])[0]
+    return int(text) if text.isdigit() else 0
+
+
+@senders("ReadSnapshot")
+def read_snapshot(process: PlatformProcess, command: commands.ReadSnapshot) -> None:
+    """Ask another VM for what it holds."""
+    query = urlencode(
+        {
+            "configuration": command.configuration_version,
+            "servers": command.servers_version,
+        }
+    )
+    url = f"http://{command.admin_address}{names.SNAPSHOT_PATH}?{query}"
+    asked = process.http_client.get(url, timeout=TIMEOUT_S)
+
+    def read(response: Any) -> Any:
+        if response.code != STATUS_OK:
+            raise SnapshotError(str(response.code))
+        return treq.content(response).addTimeout(TIMEOUT_S, process.reactor)
+
+    def succeed(body: bytes) -> None:
+        snapshot = _decoder.decode(body)
+        process.ticker.post(events.SnapshotRead(command.operation_id, None, snapshot))
+
+    def fail(failure: Failure) -> None:
+        process.ticker.post(events.SnapshotRead(command.operation_id, failure.type))
+
+    asked.addCallback(read).addCallback(succeed).addErrback(fail)
--- a/burdockhitch/settings.py
+++ b/burdockhitch/settings.py
@@ -40,6 +40,15 @@
 DEFAULT_FLOOR_GUARD = "escrow"
 DEFAULT_WINDOWS = "hours_or_load"
 DEFAULT_LOG_LEVEL = "INFO"
+DEFAULT_SENDING = "owned"
+DEFAULT_SELECTION = "expected_cost"
+DEFAULT_ADDRESS = ""
+DEFAULT_DRAIN_S = 2.0
+DEFAULT_GRACE_S = 6.0
+DEFAULT_RETRY_RATIO = 0.2
+DEFAULT_RETRY_WINDOW_S = 10.0
+DEFAULT_RETRY_SLACK = 64.0
+DEFAULT_ADDRESS_TTL_S = 2.0
 
 SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
 BYTES_BY_UNIT = {"B": 1, "KiB": 1024, "MiB": 1024 * 1024}
@@ -117,6 +126,32 @@
     detector: str = DEFAULT_DETECTOR
     floor_guard: str = DEFAULT_FLOOR_GUARD
     windows: str = DEFAULT_WINDOWS
+    sending: str = DEFAULT_SENDING
+    selection: str = DEFAULT_SELECTION
+
+
+class DirectSettings(NamedTuple):
+    """Section ``direct``: VMs that all send to all backend servers.
+
+    Attributes:
+        directory_address: Where callers ask for addresses.
+        readiness_address: Where the platform asks whether this VM is ready.
+        drain_s: Time within which a leaving backend server gets no new work.
+        grace_s: Time from the request to stop until the process is killed.
+        retry_ratio: Retries of the fleet per request of a service.
+        retry_window_s: Time over which retries are counted.
+        retry_slack: Retries of the fleet in such a time beyond the ratio.
+        address_ttl_s: How long callers keep an answer about addresses.
+    """
+
+    directory_address: str = DEFAULT_ADDRESS
+    readiness_address: str = DEFAULT_ADDRESS
+    drain_s: float = DEFAULT_DRAIN_S
+    grace_s: float = DEFAULT_GRACE_S
+    retry_ratio: float = DEFAULT_RETRY_RATIO
+    retry_window_s: float = DEFAULT_RETRY_WINDOW_S
+    retry_slack: float = DEFAULT_RETRY_SLACK
+    address_ttl_s: float = DEFAULT_ADDRESS_TTL_S
 
 
 class LogSettings(NamedTuple):
@@ -136,6 +171,7 @@
     backend_servers: ServerSettings = ServerSettings()
     policies: PolicySettings = PolicySettings()
     log: LogSettings = LogSettings()
+    direct: DirectSettings = DirectSettings()
 
 
 def key_of_field(field: str) -> str:
@@ -190,6 +226,14 @@
     return text
 
 
+@converters("number")
+def convert_number(text: str) -> float:
+    """Return a number that is not below zero."""
+    if not re.fullmatch(r"\d+(?:\.\d+)?", text):
+        raise UnacceptableTextError("a number, not below zero")
+    return float(text)
+
+
 @converters("addresses")
 def convert_addresses(text: str) -> tuple[str, ...]:
     """Return addresses that commas or white space separate."""
@@ -221,7 +265,13 @@
 
 
 def _converter_name(field: str) -> str:
-    names = {"seeds": "addresses", "level": "level", "fanout": "count"}
+    names = {
+        "seeds": "addresses",
+        "level": "level",
+        "fanout": "count",
+        "retry_ratio": "number",
+        "retry_slack": "number",
+    }
     if field in names:
         return names[field]
     for suffix, name in (("_s", "duration"), ("_bytes", "size"), ("_key", "key")):
--- /dev/null
+++ b/burdockhitch/systems/direct/answers.py
@@ -0,0 +1,225 @@
+"""Takes what backend servers answered, and ends or retries the request."""
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.errors import (
+    AnswerLostError,
+    DeadlineTooShortError,
+    NoBackendServerError,
+)
+from burdockhitch.events import NOT_RUN_FAILURES, AttemptFailure
+from burdockhitch.messages import Answer
+from burdockhitch.systems.direct import belief
+from burdockhitch.systems.direct.budget import has_retry, spend_retry
+from burdockhitch.systems.direct.reports import report_observation
+from burdockhitch.systems.direct.selection import mean_time_s
+from burdockhitch.systems.endings import (
+    advance,
+    answer_request,
+    lose_request,
+    make_refusal,
+    refuse_request,
+)
+from burdockhitch.systems.phases import DIRECT, Phase, system
+from burdockhitch.systems.timing import timer_handlers
+from burdockhitch.tables.beliefs import ServiceTimeRow
+from burdockhitch.tables.requests import AttemptRow, RequestRow
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import (
+    World,
+    count,
+    log_event,
+    send,
+    stop_timer,
+    take_events,
+)
+
+SERVER_ERRORS = frozenset({500, 502, 503, 504})
+RETRY_AFTER_S = 0.25
+SHED_AVOID_S = 0.15
+MISDIRECTED_AVOID_S = 5.0
+# Attempts that never reached a server don't count against the route's limit.
+N_SENDS_MAX = 6
+MEAN_WEIGHT = 0.05
+REMAINING_SHARE_MIN = 0.6
+
+
+def _take_attempt(world: World, attempt_id: int) -> AttemptRow | None:
+    attempt = world.attempts.get(attempt_id)
+    if attempt is None:
+        count(world, "answers_dropped", "reason", "late")
+        return None
+    world.attempts.remove(attempt_id)
+    stop_timer(world, TimerKind.OVERDUE, str(attempt_id))
+    return attempt
+
+
+def _take_request(world: World, attempt: AttemptRow) -> RequestRow | None:
+    row = world.requests.get(attempt.request_id)
+    if row is None:
+        return None
+    row = row._replace(attempt_id=0)
+    world.requests.replace(row)
+    return row
+
+
+def _note_time(world: World, attempt: AttemptRow, now: Instant) -> None:
+    latency_s = now.monotonic_s - attempt.started_at_s
+    row = world.service_times.get(attempt.service)
+    if row is None:
+        row = ServiceTimeRow(attempt.service, latency_s, 0)
+    weight = max(MEAN_WEIGHT, 1.0 / (row.n_answers + 1))
+    mean_s = row.mean_s + weight * (latency_s - row.mean_s)
+    world.service_times.put(row._replace(mean_s=mean_s, n_answers=row.n_answers + 1))
+    belief.note_reached(world, attempt.server_id, latency_s / max(0.001, mean_s))
+
+
+def _can_retry(world: World, row: RequestRow, now: Instant) -> bool:
+    n_tries_max = max(1, row.n_tries_max)
+    if row.n_tries >= n_tries_max or not has_retry(world, row.service, now):
+        return False
+    remaining_s = row.deadline_s - now.monotonic_s
+    return remaining_s > REMAINING_SHARE_MIN * mean_time_s(world, row.service)
+
+
+def _retry(world: World, row: RequestRow, reason: str, now: Instant) -> None:
+    log_event(
+        world,
+        "INFO",
+        "request_retried",
+        request_id=row.caller_request_id,
+        service=row.service,
+        tried=row.tried,
+        reason=reason,
+        elapsed_s=round(now.monotonic_s - row.accepted_at_s, 4),
+    )
+    advance(world, row, "requeue", now)
+
+
+@system(Phase.ANSWERS, DIRECT)
+def take_answers(world: World, now: Instant) -> None:
+    """End or retry every request whose backend server answered whole."""
+    for event in take_events(world, events.BackendAnswered):
+        attempt = _take_attempt(world, event.attempt_id)
+        if attempt is None:
+            continue
+        is_error = event.answer.status in SERVER_ERRORS
+        kind = belief.FAILURE if is_error else belief.SUCCESS
+        report_observation(world, attempt.server_id, kind, now)
+        if not is_error:
+            _note_time(world, attempt, now)
+        row = _take_request(world, attempt)
+        if row is not None:
+            _take_answer(world, row, event.answer, is_error, now)
+
+
+def _take_answer(
+    world: World, row: RequestRow, answer: Answer, is_error: bool, now: Instant
+) -> None:
+    if is_error:
+        log_event(
+            world,
+            "INFO",
+            "server_error",
+            request_id=row.caller_request_id,
+            server=row.tried[-1],
+            status=answer.status,
+            is_idempotent=row.is_idempotent,
+        )
+    if is_error and row.is_idempotent and _can_retry(world, row, now):
+        spend_retry(world, row.service, now)
+        row = row._replace(may_have_run=True)
+        _retry(world, row, f"status {answer.status}", now)
+        return
+    answer_request(world, row, answer, now)
+
+
+def _judge(
+    world: World, attempt: AttemptRow, failure: AttemptFailure, now: Instant
+) -> None:
+    if failure is AttemptFailure.SHED:
+        belief.avoid(world, attempt.server_id, SHED_AVOID_S, now)
+    elif failure is AttemptFailure.MISDIRECTED:
+        belief.avoid(world, attempt.server_id, MISDIRECTED_AVOID_S, now)
+    elif failure is AttemptFailure.NOT_SENT:
+        belief.note_unreachable(world, attempt.server_id, now)
+    else:
+        report_observation(world, attempt.server_id, belief.FAILURE, now)
+
+
+@system(Phase.ANSWERS, DIRECT)
+def take_failures(world: World, now: Instant) -> None:
+    """End or retry every request whose attempt failed."""
+    for event in take_events(world, events.BackendFailed):
+        attempt = _take_attempt(world, event.attempt_id)
+        if attempt is None:
+            continue
+        count(world, "attempts_failed", "failure", event.failure)
+        _judge(world, attempt, event.failure, now)
+        row = _take_request(world, attempt)
+        if row is not None:
+            _take_failure(world, row, event.failure, now)
+
+
+def _resend_unsent(world: World, row: RequestRow, now: Instant) -> bool:
+    """Send again what never reached a server; that costs no budget."""
+    remaining_s = row.deadline_s - now.monotonic_s
+    if len(row.tried) >= N_SENDS_MAX or remaining_s <= 0:
+        return False
+    row = row._replace(n_tries=row.n_tries - 1)
+    _retry(world, row, AttemptFailure.NOT_SENT.value, now)
+    return True
+
+
+def _take_failure(
+    world: World, row: RequestRow, failure: AttemptFailure, now: Instant
+) -> None:
+    not_run = failure in NOT_RUN_FAILURES
+    if failure is AttemptFailure.NOT_SENT and _resend_unsent(world, row, now):
+        return
+    if (not_run or row.is_idempotent) and _can_retry(world, row, now):
+        spend_retry(world, row.service, now)
+        row = row._replace(may_have_run=row.may_have_run or not not_run)
+        _retry(world, row, failure.value, now)
+    elif not_run:
+        detail = f"the backend server did not take the request: {failure.value}"
+        refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+    else:
+        detail = f"the backend server did not answer whole: {failure.value}"
+        lose_request(world, row, make_refusal(AnswerLostError, detail), now)
+
+
+@timer_handlers(TimerKind.OVERDUE)
+def judge_overdue(world: World, attempt_id: str, now: Instant) -> None:
+    """Count a long silence against the server and try another one."""
+    attempt = world.attempts.get(int(attempt_id))
+    if attempt is None:
+        return
+    report_observation(world, attempt.server_id, belief.OVERDUE, now)
+    row = world.requests.get(attempt.request_id)
+    if row is None or not row.is_idempotent or not _can_retry(world, row, now):
+        return
+    world.attempts.remove(attempt.attempt_id)
+    send(world, commands.CancelAttempt(attempt.attempt_id))
+    spend_retry(world, row.service, now)
+    row = row._replace(attempt_id=0, may_have_run=True)
+    _retry(world, row, "overdue", now)
+
+
+@timer_handlers(TimerKind.CUTOFF)
+def end_late_request(world: World, request_id: str, now: Instant) -> None:
+    """End a request at its deadline, by how far it got."""
+    row = world.requests.get(request_id)
+    if row is None:
+        return
+    if not row.attempt_id:
+        detail = f"the deadline passed while the request was {row.state.value}"
+        refusal = make_refusal(DeadlineTooShortError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+        return
+    attempt = world.attempts.fetch(row.attempt_id)
+    stop_timer(world, TimerKind.OVERDUE, str(attempt.attempt_id))
+    report_observation(world, attempt.server_id, belief.OVERDUE, now)
+    detail = "the deadline passed before the backend server answered"
+    lose_request(world, row, make_refusal(AnswerLostError, detail), now)
--- /dev/null
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -0,0 +1,89 @@
+"""Sends accepted requests to backend servers, or refuses them at once."""
+
+from burdockhitch import commands
+from burdockhitch.clock import Instant
+from burdockhitch.errors import NoBackendServerError, OverloadedError
+from burdockhitch.systems.direct.selection import (
+    Candidate,
+    find_candidates,
+    mean_time_s,
+    selection_policies,
+)
+from burdockhitch.systems.endings import advance, make_refusal, refuse_request
+from burdockhitch.systems.phases import DIRECT, Phase, system
+from burdockhitch.tables.requests import AttemptRow, RequestRow, RequestState
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import World, count, next_sequence, send, start_timer
+
+RETRY_AFTER_S = 0.25
+OVERDUE_MEANS = 4.0
+OVERDUE_MIN_S = 0.25
+RUN_SHARE_MIN = 0.6
+
+
+def _send(world: World, row: RequestRow, choice: Candidate, now: Instant) -> None:
+    server = choice.server
+    attempt_id = next_sequence(world, "attempt")
+    row = row._replace(
+        attempt_id=attempt_id,
+        tried=(*row.tried, server.server_id),
+        n_tries=row.n_tries + 1,
+    )
+    advance(world, row, "dispatch", now)
+    world.attempts.insert(
+        AttemptRow(
+            attempt_id,
+            row.request_id,
+            server.server_id,
+            row.service,
+            now.monotonic_s,
+        )
+    )
+    count(world, "attempts", "service", row.service)
+    overdue_s = max(OVERDUE_MIN_S, OVERDUE_MEANS * mean_time_s(world, row.service))
+    due_s = now.monotonic_s + overdue_s
+    start_timer(world, TimerKind.OVERDUE, str(attempt_id), due_s)
+    command = commands.SendAttempt(
+        attempt_id,
+        row.caller_request_id,
+        server.address,
+        row.message,
+        row.deadline_s - now.monotonic_s,
+        server.server_id,
+        row.is_idempotent,
+    )
+    send(world, command)
+
+
+def _is_hopeless(row: RequestRow, choice: Candidate, now: Instant) -> bool:
+    needed_s = choice.wait_s + RUN_SHARE_MIN * choice.run_s
+    return needed_s > row.deadline_s - now.monotonic_s
+
+
+def _dispatch(world: World, row: RequestRow, now: Instant) -> None:
+    candidates = find_candidates(world, row, now)
+    if not candidates:
+        detail = f"no backend server of {row.service} can take the request"
+        refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+        return
+    policy = selection_policies[world.settings.policies.selection]
+    choice = policy(world, row, candidates, now)
+    if _is_hopeless(row, choice, now):
+        detail = f"{row.service} would answer after {choice.wait_s:.3f} s of waiting"
+        refusal = make_refusal(OverloadedError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+        return
+    _send(world, row, choice, now)
+
+
+def _order(row: RequestRow) -> tuple[int, float]:
+    return row.priority, row.accepted_at_s
+
+
+@system(Phase.DISPATCH, DIRECT)
+def dispatch_requests(world: World, now: Instant) -> None:
+    """Send or refuse what is queued, urgent classes first."""
+    queued = world.requests.select("state", RequestState.QUEUED)
+    for row in sorted(queued, key=_order):
+        _dispatch(world, row, now)
--- /dev/null
+++ b/burdockhitch/systems/direct/intake.py
@@ -0,0 +1,131 @@
+"""Turns callers' requests into rows, by host and longest path prefix."""
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.errors import NotReadyError, RequestRefusedError, RouteNotFoundError
+from burdockhitch.systems.direct.budget import earn_retry
+from burdockhitch.systems.endings import abandon_request, advance, make_refusal
+from burdockhitch.systems.phases import DIRECT, Phase, system
+from burdockhitch.tables.prefix_routes import PrefixRouteRow
+from burdockhitch.tables.requests import RequestRow, RequestState
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.world import (
+    World,
+    count,
+    log_event,
+    next_sequence,
+    send,
+    start_timer,
+    take_events,
+)
+
+RETRY_AFTER_S = 0.3
+
+
+def match_route(world: World, host: str, path: str) -> PrefixRouteRow | None:
+    """Return the route of a host with the longest prefix of a path."""
+    path = path.partition("?")[0]
+    routes = [
+        route
+        for route in world.prefix_routes.select("host", host)
+        if path.startswith(route.prefix)
+    ]
+    return max(routes, key=lambda route: len(route.prefix), default=None)
+
+
+def choose_service(world: World, route: PrefixRouteRow) -> str:
+    """Draw a service of a route by the weights of its targets."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    weights = [target.weight for target in route.targets]
+    return world.rng.choices(route.targets, weights)[0].service
+
+
+def _refuse_arrival(
+    world: World,
+    event: events.HostRequestArrived,
+    error: type[RequestRefusedError],
+    detail: str,
+    retry_after_s: float = 0.0,
+) -> None:
+    refusal = make_refusal(error, detail, retry_after_s)
+    count(world, "refusals", "error", refusal.error)
+    log_event(
+        world,
+        "INFO",
+        "request_refused",
+        request_id=event.caller_request_id,
+        host=event.request.host,
+        error=refusal.error,
+        detail=detail,
+        configuration=[row.version for row in world.configurations],
+    )
+    command = commands.RefuseCaller(
+        event.connection_id, event.caller_request_id, refusal
+    )
+    send(world, command)
+
+
+def _accept(world: World, event: events.HostRequestArrived, now: Instant) -> None:
+    request = event.request
+    if not len(world.configurations):
+        detail = "this VM holds no configuration yet"
+        _refuse_arrival(world, event, NotReadyError, detail, RETRY_AFTER_S)
+        return
+    route = match_route(world, event.request.host, request.path)
+    if route is None:
+        detail = f"no route for {event.request.host} {request.path}"
+        _refuse_arrival(world, event, RouteNotFoundError, detail)
+        return
+    sequence = next_sequence(world, "request")
+    request_id = f"{world.local.vm_id}:{world.local.incarnation}:{sequence}"
+    service = choose_service(world, route)
+    earn_retry(world, service, now)
+    deadline_s = now.monotonic_s + min(route.timeout_s, event.remaining_s)
+    row = RequestRow(
+        request_id=request_id,
+        connection_id=event.connection_id,
+        origin_vm_id="",
+        message=request,
+        service=service,
+        route_id=route.route_id,
+        is_idempotent=route.is_idempotent,
+        once="none",
+        key="",
+        priority=route.priority,
+        state=RequestState.ACCEPTED,
+        accepted_at_s=now.monotonic_s,
+        deadline_s=deadline_s,
+        state_at_s=now.monotonic_s,
+        caller_request_id=event.caller_request_id,
+        objective_s=route.objective_s,
+        n_tries_max=route.n_tries_max,
+    )
+    world.requests.insert(row)
+    start_timer(world, TimerKind.CUTOFF, request_id, deadline_s)
+    row = advance(world, row, "admit", now)
+    advance(world, row, "queue", now)
+
+
+@system(Phase.INTAKE, DIRECT)
+def accept_requests(world: World, now: Instant) -> None:
+    """Accept or refuse what callers sent."""
+    for event in take_events(world, events.HostRequestArrived):
+        count(world, "requests_accepted")
+        _accept(world, event, now)
+
+
+def _release_caller(world: World, row: RequestRow, now: Instant) -> None:
+    """End a request whose caller is gone, unless it runs and must run once."""
+    if row.attempt_id and not row.is_idempotent:
+        world.requests.replace(row._replace(connection_id=0))
+        return
+    abandon_request(world, row, now)
+
+
+@system(Phase.INTAKE, DIRECT)
+def release_callers(world: World, now: Instant) -> None:
+    """Handle requests of callers that are gone."""
+    for event in take_events(world, events.CallerGone):
+        for row in world.requests.select("connection_id", event.connection_id):
+            _release_caller(world, row, now)
--- /dev/null
+++ b/burdockhitch/systems/direct/membership.py
@@ -0,0 +1,217 @@
+"""Finds out which VMs live by heartbeats, and announces this one.
+
+Each VM writes its row to the registry once and then reads the list, so of any
+two VMs that start together at least one learns of the other.
+"""
+
+import math
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.messages import Heartbeat
+from burdockhitch.systems.direct.configuration import view_of
+from burdockhitch.systems.direct.reports import (
+    own_loads,
+    reachable_peers,
+    take_loads,
+)
+from burdockhitch.systems.phases import DIRECT, Phase, system
+from burdockhitch.systems.timing import message_handlers, timer_handlers
+from burdockhitch.tables.registry_views import Subject
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import (
+    World,
+    log_event,
+    post_event,
+    send,
+    start_operation,
+    start_timer,
+    take_events,
+)
+
+HEARTBEAT_S = 1.0
+# Other zones hear every second heartbeat: bytes between zones are dear.
+FAR_PERIODS = 2
+# Three heartbeats missed, and a little for the network.
+SILENCE_S = 3.2
+FORGET_S = 30.0
+WRITE_RETRY_S = 0.5
+WRITE_RETRY_MAX_S = 4.0
+PURPOSE_WRITE = "write_vm"
+BEAT = "beat"
+WRITE = "write"
+
+
+def start_membership(world: World, now: Instant) -> None:
+    """Insert this VM, ask the seeds and write the row to the registry."""
+    settings = world.settings.vm
+    own = VmRow(
+        vm_id=settings.vm_id,
+        incarnation=world.local.incarnation,
+        refutation=0,
+        zone=settings.zone,
+        region=settings.region,
+        caller_address=settings.caller_address,
+        message_address=settings.message_address,
+        status=VmStatus.ALIVE,
+        changed_at_s=now.monotonic_s,
+        admin_address=settings.admin_address,
+        is_ready=False,
+    )
+    world.vms.insert(own)
+    seeds = tuple(
+        address
+        for address in world.settings.membership.seeds
+        if address != settings.message_address
+    )
+    if seeds:
+        message = Heartbeat(own, (), True)
+        send(world, commands.BroadcastMessage(seeds, message))
+    write_own_row(world, WRITE, now)
+    offset_s = world.rng.random() * HEARTBEAT_S
+    start_timer(world, TimerKind.HEARTBEAT, BEAT, now.monotonic_s + offset_s)
+
+
+def is_leaving(world: World) -> bool:
+    """Return whether this VM was asked to stop."""
+    return world.vms.fetch(world.local.vm_id).status is VmStatus.LEAVING
+
+
+def write_own_row(world: World, _subject: str, now: Instant) -> None:
+    """Write this VM's row to the registry."""
+    own = world.vms.fetch(world.local.vm_id)
+    operation_id = start_operation(world, PURPOSE_WRITE, own.vm_id, now)
+    send(world, commands.WriteVm(operation_id, own))
+
+
+@system(Phase.OWNERSHIP, DIRECT)
+def take_writes(world: World, now: Instant) -> None:
+    """Write again later what was not written; read the list after a write."""
+    for event in take_events(world, events.RowWritten):
+        operation = world.operations.get(event.operation_id)
+        if operation is None:
+            continue
+        world.operations.remove(event.operation_id)
+        if operation.purpose != PURPOSE_WRITE:
+            continue
+        # The list is worth reading after a failure too: it may be readable.
+        start_timer(world, TimerKind.REGISTRY_READ, Subject.VMS, now.monotonic_s)
+        if event.error is not None:
+            delay_s = WRITE_RETRY_S + world.rng.random() * WRITE_RETRY_MAX_S
+            start_timer(world, TimerKind.HEARTBEAT, WRITE, now.monotonic_s + delay_s)
+
+
+def refresh_own(world: World, now: Instant) -> VmRow:
+    """Bring this VM's own row up to date and return it."""
+    own = world.vms.fetch(world.local.vm_id)
+    configuration = view_of(world, Subject.CONFIGURATION)
+    servers = view_of(world, Subject.SERVERS)
+    confirmed_at_s = max(configuration.confirmed_at_s, servers.confirmed_at_s)
+    age_s = now.monotonic_s - confirmed_at_s if confirmed_at_s else math.inf
+    is_ready = configuration.version > 0 and servers.version > 0
+    own = own._replace(
+        changed_at_s=now.monotonic_s,
+        is_ready=is_ready and own.status is VmStatus.ALIVE,
+        platform_age_s=age_s,
+        configuration_version=configuration.version,
+        servers_version=servers.version,
+    )
+    world.vms.replace(own)
+    return own
+
+
+def announce(world: World, now: Instant, is_far: bool = True) -> None:
+    """Send this VM's state to the zone, and to the other zones if wanted."""
+    own = refresh_own(world, now)
+    message = Heartbeat(own, ())
+    addresses = tuple(
+        vm.message_address
+        for vm in reachable_peers(world)
+        if is_far or vm.zone == own.zone
+    )
+    if addresses:
+        send(world, commands.BroadcastMessage(addresses, message))
+
+
+def _is_silent(world: World, vm: VmRow, now: Instant) -> bool:
+    n_periods = 1 if vm.zone == world.local.zone else FAR_PERIODS
+    return now.monotonic_s - vm.changed_at_s > SILENCE_S * n_periods
+
+
+def _judge_silence(world: World, now: Instant) -> None:
+    peers = [vm for vm in world.vms if vm.vm_id != world.local.vm_id]
+    silent = [vm for vm in peers if _is_silent(world, vm, now)]
+    if peers and len(silent) == len(peers):
+        # Nobody is heard: more likely this VM is cut off than all others dead.
+        return
+    for vm in silent:
+        if now.monotonic_s - vm.changed_at_s > FORGET_S:
+            world.vms.remove(vm.vm_id)
+            take_loads(world, vm.vm_id, ())
+        elif vm.status is not VmStatus.DEAD:
+            world.vms.replace(vm._replace(status=VmStatus.DEAD))
+            take_loads(world, vm.vm_id, ())
+            log_event(world, "WARNING", "vm_silent", vm=vm.vm_id, zone=vm.zone)
+
+
+@timer_handlers(TimerKind.HEARTBEAT)
+def beat(world: World, subject: str, now: Instant) -> None:
+    """Send a heartbeat, or write this VM's row again."""
+    if subject == WRITE:
+        write_own_row(world, subject, now)
+        return
+    _judge_silence(world, now)
+    n_beats = int(now.monotonic_s / HEARTBEAT_S)
+    announce(world, now, is_far=n_beats % FAR_PERIODS == 0)
+    due_s = now.monotonic_s + HEARTBEAT_S
+    start_timer(world, TimerKind.HEARTBEAT, BEAT, due_s)
+
+
+def keep_vm(world: World, row: VmRow, now: Instant) -> None:
+    """Take over what another VM says of itself.
+
+    An older incarnation of the same VM is ignored.
+    """
+    old = world.vms.get(row.vm_id)
+    if old is not None and row.incarnation < old.incarnation:
+        return
+    if old is None or old.status is VmStatus.DEAD:
+        log_event(world, "INFO", "vm_heard", vm=row.vm_id, zone=row.zone)
+    world.vms.put(row._replace(changed_at_s=now.monotonic_s))
+    if is_newer(world, row):
+        post_event(world, events.NewerVersionHeard(row.vm_id))
+
+
+def is_newer(world: World, vm: VmRow) -> bool:
+    """Return whether a VM reports newer parts of the registry."""
+    return (
+        vm.configuration_version > view_of(world, Subject.CONFIGURATION).version
+        or vm.servers_version > view_of(world, Subject.SERVERS).version
+    )
+
+
+def learn_vm(world: World, row: VmRow, now: Instant) -> None:
+    """Take over a VM from a list; it counts as heard until it stays silent."""
+    old = world.vms.get(row.vm_id)
+    if row.vm_id == world.local.vm_id:
+        return
+    if old is None or old.incarnation < row.incarnation:
+        world.vms.put(row._replace(changed_at_s=now.monotonic_s, is_ready=False))
+
+
+@message_handlers("heartbeat")
+def take_heartbeat(
+    world: World, sender_vm_id: str, message: Heartbeat, now: Instant
+) -> None:
+    """Note that a VM lives and what it holds."""
+    if sender_vm_id == world.local.vm_id:
+        return
+    is_new = sender_vm_id not in world.vms
+    keep_vm(world, message.row, now)
+    take_loads(world, sender_vm_id, message.loads)
+    if message.is_answer_wanted or is_new:
+        own = refresh_own(world, now)
+        addresses = (message.row.message_address,)
+        reply = Heartbeat(own, own_loads(world))
+        send(world, commands.BroadcastMessage(addresses, reply))
--- /dev/null
+++ b/burdockhitch/systems/direct/reports.py
@@ -0,0 +1,141 @@
+"""Tells other VMs what was observed and what is in flight, and takes theirs."""
+
+from burdockhitch import commands
+from burdockhitch.clock import Instant
+from burdockhitch.messages import Observation, Report, ServerLoad
+from burdockhitch.systems.direct.belief import P_SUSPECT, SUCCESS, observe
+from burdockhitch.systems.phases import DIRECT, Phase, system
+from burdockhitch.systems.timing import message_handlers, timer_handlers
+from burdockhitch.tables.beliefs import (
+    ObservationRow,
+    PeerLoadRow,
+    ServerLoadRow,
+)
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import World, next_sequence, send, start_timer
+
+# One datagram holds as many without being split on its way.
+LOADS_MAX = 48
+OBSERVATIONS_MAX = 24
+# Loads change with each request; peers need not hear of each change.
+LOADS_PERIOD_S = 0.1
+LOADS = "loads"
+
+
+def report_observation(world: World, server_id: str, kind: str, now: Instant) -> None:
+    """Update the belief and tell other VMs what changes theirs.
+
+    A success is news only about a server that was suspect.
+    """
+    before = observe(world, server_id, kind, now)
+    if before is None or (kind == SUCCESS and before < P_SUSPECT):
+        return
+    sequence = next_sequence(world, "observation")
+    world.observations.insert(ObservationRow(sequence, server_id, kind, True))
+
+
+def own_loads(world: World) -> tuple[ServerLoad, ...]:
+    """Return this VM's requests in flight, by backend server."""
+    server_ids = world.attempts.values("server_id")[:LOADS_MAX]
+    return tuple(
+        ServerLoad(server_id, world.attempts.count("server_id", server_id))
+        for server_id in server_ids
+    )
+
+
+def reachable_peers(world: World) -> list[VmRow]:
+    """Return the other VMs that live, in no order."""
+    return [
+        vm
+        for vm in world.vms
+        if vm.vm_id != world.local.vm_id and vm.status is not VmStatus.DEAD
+    ]
+
+
+def _send_report(world: World, addresses: list[str], report: Report) -> None:
+    if addresses:
+        send(world, commands.BroadcastMessage(tuple(addresses), report))
+
+
+def _is_load_due(world: World, loads: tuple[ServerLoad, ...], now: Instant) -> bool:
+    """Return whether loads changed and the last report of them is old enough."""
+    previous = world.peer_loads.select("vm_id", world.local.vm_id)
+    if _as_loads(previous) == loads:
+        return False
+    timer_id = (TimerKind.REPORT, LOADS)
+    timer = world.timers.get(timer_id)
+    if timer is not None:
+        return False
+    start_timer(world, *timer_id, now.monotonic_s + LOADS_PERIOD_S)
+    return True
+
+
+@timer_handlers(TimerKind.REPORT)
+def end_load_pause(world: World, _subject: str, now: Instant) -> None:
+    """Let the end of this tick report loads again."""
+
+
+@system(Phase.ACCOUNTING, DIRECT)
+def send_reports(world: World, now: Instant) -> None:
+    """Report observations to all VMs, and loads within the zone."""
+    loads = own_loads(world)
+    if not len(world.observations) and not _is_load_due(world, loads, now):
+        return
+    rows = list(world.observations)[:OBSERVATIONS_MAX]
+    for row in rows:
+        world.observations.remove(row.sequence)
+    observations = tuple(Observation(row.server_id, row.kind) for row in rows)
+    _keep_loads(world, world.local.vm_id, loads)
+    peers = reachable_peers(world)
+    zone = world.local.zone
+    near = [vm.message_address for vm in peers if vm.zone == zone]
+    _send_report(world, near, Report(observations, loads))
+    if observations:
+        far = [vm.message_address for vm in peers if vm.zone != zone]
+        _send_report(world, far, Report(observations, None))
+
+
+def _as_loads(rows: list[PeerLoadRow]) -> tuple[ServerLoad, ...]:
+    return tuple(ServerLoad(row.server_id, row.n_in_flight) for row in rows)
+
+
+def _add_load(world: World, server_id: str, n_in_flight: int) -> None:
+    row = world.server_loads.get(server_id)
+    total = n_in_flight + (row.n_in_flight if row else 0)
+    if total > 0:
+        world.server_loads.put(ServerLoadRow(server_id, total))
+    else:
+        world.server_loads.discard(server_id)
+
+
+def _keep_loads(world: World, vm_id: str, loads: tuple[ServerLoad, ...]) -> None:
+    is_own = vm_id == world.local.vm_id
+    for row in world.peer_loads.select("vm_id", vm_id):
+        world.peer_loads.remove(row.key)
+        if not is_own:
+            _add_load(world, row.server_id, -row.n_in_flight)
+    for load in loads:
+        key = (vm_id, load.server_id)
+        world.peer_loads.put(PeerLoadRow(key, vm_id, *load))
+        if not is_own:
+            _add_load(world, load.server_id, load.n_in_flight)
+
+
+def take_loads(world: World, vm_id: str, loads: tuple[ServerLoad, ...]) -> None:
+    """Replace what is known of another VM's requests in flight."""
+    if vm_id != world.local.vm_id:
+        _keep_loads(world, vm_id, loads)
+
+
+@message_handlers("report")
+def take_report(world: World, sender_vm_id: str, report: Report, now: Instant) -> None:
+    """Apply what another VM observed and has in flight."""
+    sender = world.vms.get(sender_vm_id)
+    if sender is None:
+        return
+    world.vms.replace(sender._replace(changed_at_s=now.monotonic_s))
+    for observation in report.observations:
+        observe(world, observation.server_id, observation.kind, now)
+    if report.loads is not None:
+        take_loads(world, sender_vm_id, report.loads)
--- /dev/null
+++ b/burdockhitch/systems/direct/selection.py
@@ -0,0 +1,151 @@
+"""Chooses the backend server of a request."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from burdockhitch.clock import Instant
+from burdockhitch.registry import Registry
+from burdockhitch.systems.direct.belief import P_SUSPECT, p_failing
+from burdockhitch.systems.direct.budget import has_retry
+from burdockhitch.tables.backend_servers import BackendServerRow
+from burdockhitch.tables.beliefs import BeliefRow
+from burdockhitch.tables.requests import RequestRow
+from burdockhitch.world import World
+
+# Costs are in units of the latency objective; a failure loses the request.
+FAILURE_COST = 4.0
+RETRIED_FAILURE_COST = 1.0
+OTHER_ZONE_COST = 0.12
+TIE_COST = 0.05
+WARM_UP_FACTOR = 2.0
+SERVICE_TIME_DEFAULT_S = 0.2
+EXPLORE_P = 0.5
+CONNECTIONS_SHARE = 0.8
+
+
+class Candidate(NamedTuple):
+    """A backend server that may take a request.
+
+    Attributes:
+        server: Backend server.
+        belief: What is believed of it.
+        wait_s: Expected wait for a slot.
+        run_s: Expected time from the slot to the answer.
+    """
+
+    server: BackendServerRow
+    belief: BeliefRow
+    wait_s: float
+    run_s: float
+
+
+SelectionPolicy = Callable[[World, RequestRow, list[Candidate], Instant], Candidate]
+selection_policies: Registry[SelectionPolicy] = Registry("selection policy")
+
+
+def mean_time_s(world: World, service: str) -> float:
+    """Return how long an answer of a service usually takes."""
+    row = world.service_times.get(service)
+    return row.mean_s if row else SERVICE_TIME_DEFAULT_S
+
+
+def count_in_flight(world: World, server_id: str) -> int:
+    """Return the requests in flight at a server from all VMs that report."""
+    load = world.server_loads.get(server_id)
+    own = world.attempts.count("server_id", server_id)
+    return own + (load.n_in_flight if load else 0)
+
+
+def _connections_max(world: World, server: BackendServerRow) -> float:
+    n_max = server.n_connections_max
+    for document in world.configurations:
+        n_max = document.connections_max.get(server.service, n_max)
+    return max(1.0, CONNECTIONS_SHARE * n_max / max(1, len(world.vms)))
+
+
+def _estimate(
+    world: World, server: BackendServerRow, belief: BeliefRow, now: Instant
+) -> Candidate:
+    run_s = mean_time_s(world, server.service) * max(0.5, belief.slowness)
+    if belief.warm_until_s > now.monotonic_s:
+        run_s *= WARM_UP_FACTOR
+    n_ahead = count_in_flight(world, server.server_id) + 1 - server.n_slots
+    wait_s = max(0, n_ahead) * run_s / max(1, server.n_slots)
+    return Candidate(server, belief, wait_s, run_s)
+
+
+def find_candidates(world: World, row: RequestRow, now: Instant) -> list[Candidate]:
+    """Return the servers of a request's service that may take it.
+
+    Servers that this VM avoids are left out unless no other is there.
+    """
+    usable = []
+    avoided = []
+    for server in world.backend_servers.select("service", row.service):
+        if server.is_draining or server.server_id in row.tried:
+            continue
+        own = world.attempts.count("server_id", server.server_id)
+        if own >= _connections_max(world, server):
+            continue
+        belief = world.beliefs.fetch(server.server_id)
+        candidate = _estimate(world, server, belief, now)
+        if belief.avoided_until_s > now.monotonic_s:
+            avoided.append(candidate)
+        else:
+            usable.append(candidate)
+    return usable or avoided
+
+
+@selection_policies("random")
+def choose_random(
+    world: World, row: RequestRow, candidates: list[Candidate], now: Instant
+) -> Candidate:
+    """Take any server; the baseline."""
+    return world.rng.choice(candidates)
+
+
+def _may_explore(world: World, row: RequestRow, now: Instant) -> bool:
+    return (
+        row.is_idempotent
+        and not row.tried
+        and row.n_tries_max > 1
+        and has_retry(world, row.service, now)
+        and world.rng.random() < EXPLORE_P
+    )
+
+
+def _find_suspects(candidates: list[Candidate], now: Instant) -> list[Candidate]:
+    return [
+        candidate
+        for candidate in candidates
+        if p_failing(candidate.belief, now) >= P_SUSPECT and candidate.wait_s <= 0
+    ]
+
+
+@selection_policies("expected_cost")
+def choose_cheapest(
+    world: World, row: RequestRow, candidates: list[Candidate], now: Instant
+) -> Candidate:
+    """Take the server with the least expected cost.
+
+    The first try of some idempotent requests goes to a suspect server: only
+    work shows whether it has recovered.
+    """
+    if _may_explore(world, row, now):
+        suspects = _find_suspects(candidates, now)
+        if suspects:
+            return world.rng.choice(suspects)
+    can_retry = row.is_idempotent and row.n_tries_max > len(row.tried) + 1
+    failure_cost = RETRIED_FAILURE_COST if can_retry else FAILURE_COST
+    objective_s = row.objective_s or 1.0
+
+    def cost(candidate: Candidate) -> float:
+        is_far = candidate.server.zone != world.local.zone
+        return (
+            p_failing(candidate.belief, now) * failure_cost
+            + (candidate.wait_s + candidate.run_s) / objective_s
+            + OTHER_ZONE_COST * is_far
+            + TIE_COST * world.rng.random()
+        )
+
+    return min(candidates, key=cost)
--- /dev/null
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -0,0 +1,145 @@
+"""Copies the registry from a VM that holds a newer version."""
+
+from burdockhitch import commands, events
+from burdockhitch.clock import Instant
+from burdockhitch.messages import Snapshot
+from burdockhitch.systems.direct.configuration import adopt_configuration, view_of
+from burdockhitch.systems.direct.membership import announce, is_newer, learn_vm
+from burdockhitch.systems.direct.servers import adopt_servers
+from burdockhitch.systems.phases import DIRECT, Phase, system
+from burdockhitch.systems.timing import timer_handlers
+from burdockhitch.tables.registry_views import Subject
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import (
+    World,
+    count,
+    log_event,
+    send,
+    start_operation,
+    start_timer,
+    take_events,
+)
+
+PURPOSE_SNAPSHOT = "read_snapshot"
+# The zone's own reader hears of a change at the same time as the others.
+FAR_DELAY_S = 0.25
+RETRY_S = 0.2
+COPY = "copy"
+
+
+def make_snapshot(
+    world: World, configuration_version: int, servers_version: int
+) -> Snapshot:
+    """Return what is newer here than the versions that a reader holds."""
+    configuration = next(iter(world.configurations), None)
+    if configuration is not None and configuration.version <= configuration_version:
+        configuration = None
+    version = view_of(world, Subject.SERVERS).version
+    servers = tuple(world.backend_servers) if version > servers_version else None
+    return Snapshot(configuration, version, servers, tuple(world.vms))
+
+
+def _find_sources(world: World) -> list[VmRow]:
+    return [
+        vm
+        for vm in world.vms
+        if vm.vm_id != world.local.vm_id
+        and vm.status is not VmStatus.DEAD
+        and vm.admin_address
+        and is_newer(world, vm)
+    ]
+
+
+def _is_copying(world: World) -> bool:
+    return any(row.purpose == PURPOSE_SNAPSHOT for row in world.operations)
+
+
+def _copy(world: World, source: VmRow, now: Instant) -> None:
+    operation_id = start_operation(world, PURPOSE_SNAPSHOT, source.vm_id, now)
+    count(world, "snapshots_read")
+    send(
+        world,
+        commands.ReadSnapshot(
+            operation_id,
+            source.admin_address,
+            view_of(world, Subject.CONFIGURATION).version,
+            view_of(world, Subject.SERVERS).version,
+        ),
+    )
+
+
+@system(Phase.OWNERSHIP, DIRECT)
+def copy_newer(world: World, now: Instant) -> None:
+    """Copy what other VMs hold if any has newer versions."""
+    if take_events(world, events.NewerVersionHeard):
+        _plan_copy(world, now)
+
+
+def _plan_copy(world: World, now: Instant) -> None:
+    """Copy from a VM of the zone, or after a while from any other."""
+    if _is_copying(world):
+        return
+    sources = _find_sources(world)
+    if not sources:
+        world.timers.discard((TimerKind.COPY, COPY))
+        return
+    near = [vm for vm in sources if vm.zone == world.local.zone]
+    if near:
+        _copy(world, world.rng.choice(near), now)
+        return
+    timer = world.timers.get((TimerKind.COPY, COPY))
+    if timer is None:
+        due_s = now.monotonic_s + FAR_DELAY_S
+        start_timer(world, TimerKind.COPY, COPY, due_s)
+
+
+@timer_handlers(TimerKind.COPY)
+def copy_far(world: World, _subject: str, now: Instant) -> None:
+    """Copy from any VM that is still newer."""
+    sources = _find_sources(world)
+    if sources and not _is_copying(world):
+        _copy(world, world.rng.choice(sources), now)
+
+
+@system(Phase.OWNERSHIP, DIRECT)
+def take_snapshots(world: World, now: Instant) -> None:
+    """Take over what another VM holds."""
+    for event in take_events(world, events.SnapshotRead):
+        operation = world.operations.get(event.operation_id)
+        if operation is None:
+            continue
+        world.operations.remove(event.operation_id)
+        source = operation.subject
+        if event.snapshot is None:
+            _distrust(world, source, event, now)
+        else:
+            _adopt(world, event.snapshot, source, now)
+        _plan_copy(world, now)
+
+
+def _distrust(
+    world: World, source: str, event: events.SnapshotRead, now: Instant
+) -> None:
+    error = event.error.__name__ if event.error else ""
+    log_event(world, "WARNING", "snapshot_failed", vm=source, error=error)
+    vm = world.vms.get(source)
+    if vm is not None:
+        # It is asked again once it reports its versions again.
+        world.vms.replace(vm._replace(configuration_version=0, servers_version=0))
+    start_timer(world, TimerKind.COPY, COPY, now.monotonic_s + RETRY_S)
+
+
+def _adopt(world: World, snapshot: Snapshot, source: str, now: Instant) -> None:
+    is_changed = False
+    if snapshot.configuration is not None:
+        is_changed = adopt_configuration(world, snapshot.configuration, source, now)
+    if snapshot.servers is not None:
+        is_changed |= adopt_servers(
+            world, snapshot.servers, (), snapshot.servers_version, True, now
+        )
+    for row in snapshot.vms:
+        learn_vm(world, row, now)
+    was_ready = world.vms.fetch(world.local.vm_id).is_ready
+    if is_changed and not was_ready:
+        announce(world, now)
--- a/burdockhitch/systems/endings.py
+++ b/burdockhitch/systems/endings.py
@@ -30,6 +30,12 @@
 
 ENDED_KEEP_S = 60.0
 UNKNOWNS_MAX = 1000
+REQUEST_TIMERS = (
+    TimerKind.DEADLINE,
+    TimerKind.CUTOFF,
+    TimerKind.QUEUE,
+    TimerKind.RESEND,
+)
 
 
 class Ending(NamedTuple):
@@ -109,7 +115,7 @@
 ) -> None:
     state = REQUEST_LIFE_CYCLE.advance(row.state, event)
     ending = Ending(state, answer, refusal)
-    for kind in (TimerKind.DEADLINE, TimerKind.QUEUE, TimerKind.RESEND):
+    for kind in REQUEST_TIMERS:
         stop_timer(world, kind, row.request_id)
     _stop_work(world, row, ending)
     world.requests.remove(row.request_id)
@@ -196,9 +202,11 @@
         world,
         "INFO" if ending.state is RequestState.REFUSED else "WARNING",
         "request_refused",
-        request_id=row.request_id,
+        request_id=row.caller_request_id or row.request_id,
         service=row.service,
         route=row.route_id,
+        state=row.state.value,
+        tried=row.tried,
         outcome=ending.state.value,
         error=refusal.error,
         detail=refusal.detail,
--- a/burdockhitch/systems/phases.py
+++ b/burdockhitch/systems/phases.py
@@ -27,14 +27,24 @@
     ACCOUNTING = 12
 
 
-_systems: dict[Phase, list[System]] = {phase: [] for phase in Phase}
+OWNED = "owned"
+DIRECT = "direct"
+SENDING_WAYS = (OWNED, DIRECT)
 
+_systems: dict[tuple[str, Phase], list[System]] = {}
 
-def system(phase: Phase) -> Callable[[System], System]:
-    """Return a decorator that registers a system for a phase."""
+
+def system(phase: Phase, *ways: str) -> Callable[[System], System]:
+    """Return a decorator that registers a system for a phase.
+
+    Args:
+        phase: When it runs within a tick.
+        ways: Ways of sending whose VMs run it; that by owners if none is given.
+    """
 
     def register(function: System) -> System:
-        _systems[phase].append(function)
+        for way in ways or (OWNED,):
+            _systems.setdefault((way, phase), []).append(function)
         _ordered_systems.cache_clear()
         return function
 
@@ -42,12 +52,14 @@
 
 
 @functools.cache
-def _ordered_systems() -> tuple[System, ...]:
-    return tuple(function for phase in Phase for function in _systems[phase])
+def _ordered_systems(way: str) -> tuple[System, ...]:
+    return tuple(
+        function for phase in Phase for function in _systems.get((way, phase), ())
+    )
 
 
 def run_tick(world: World) -> None:
-    """Run all systems once, in the order of their phases."""
+    """Run the systems of the VM's way of sending, in the order of their phases."""
     now = world.clock.now()
-    for function in _ordered_systems():
+    for function in _ordered_systems(world.settings.policies.sending):
         function(world, now)
--- a/burdockhitch/systems/timing.py
+++ b/burdockhitch/systems/timing.py
@@ -8,7 +8,7 @@
 from burdockhitch.errors import MessageError, error_name
 from burdockhitch.messages import vm_messages
 from burdockhitch.registry import Registry
-from burdockhitch.systems.phases import Phase, system
+from burdockhitch.systems.phases import SENDING_WAYS, Phase, system
 from burdockhitch.tables.operations import OperationRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import World, count, stop_timer, take_events
@@ -24,7 +24,7 @@
 KIND_BY_MESSAGE_TYPE = {vm_messages[kind]: kind for kind in vm_messages}
 
 
-@system(Phase.TIMING)
+@system(Phase.TIMING, *SENDING_WAYS)
 def fire_timers(world: World, now: Instant) -> None:
     """Call the handler of every due timer."""
     while True:
@@ -36,7 +36,7 @@
         timer_handlers[kind](world, subject, now)
 
 
-@system(Phase.MESSAGES)
+@system(Phase.MESSAGES, *SENDING_WAYS)
 def deliver_messages(world: World, now: Instant) -> None:
     """Call the handler of every message from another VM."""
     for event in take_events(world, events.VmMessageArrived):
@@ -49,7 +49,7 @@
             count(world, "messages_dropped", "reason", error_name(error))
 
 
-@system(Phase.MESSAGES)
+@system(Phase.MESSAGES, *SENDING_WAYS)
 def deliver_replies(world: World, now: Instant) -> None:
     """Call the handler of every reply of the platform."""
     for event in take_events(world, events.PlatformReplied):
--- a/burdockhitch/tables/backend_servers.py
+++ b/burdockhitch/tables/backend_servers.py
@@ -6,18 +6,20 @@
 
 
 class BackendServerRow(NamedTuple):
-    """One backend server as the rules name it.
+    """One backend server as the rules or a registry name it.
 
     Attributes:
-        server_id: ``service/address``.
+        server_id: ``service/address``, or the name in the registry.
         service: Service it belongs to.
         address: ``ip:port``.
         zone: Availability zone.
         n_slots: Requests it runs at once.
         n_connections_max: Connections it takes.
-        is_draining: Whether the rules say that it is leaving.
+        is_draining: Whether it is leaving.
         requester: Who asked for the rule.
-        line: Line of the rule.
+        line: Line of the rule; 0 when a registry lists the server.
+        warm_up_s: How much longer it is slow after its start, as listed.
+        born_ms: Start of its process in milliseconds since 1970; 0 if unknown.
     """
 
     server_id: str
@@ -29,6 +31,8 @@
     is_draining: bool
     requester: str
     line: int
+    warm_up_s: float = 0.0
+    born_ms: int = 0
 
 
 class OwnershipRow(NamedTuple):
--- /dev/null
+++ b/burdockhitch/tables/beliefs.py
@@ -0,0 +1,113 @@
+"""What this VM believes of backend servers, from its own work and that of peers."""
+
+from typing import NamedTuple
+
+from burdockhitch.tables.table import Table
+
+
+class BeliefRow(NamedTuple):
+    """Probability that a backend server fails its work.
+
+    Attributes:
+        server_id: Backend server.
+        service: Service of the backend server.
+        p_failing: Probability at ``updated_at_s``; it drifts back from there.
+        updated_at_s: Monotonic time of the last observation.
+        avoided_until_s: Monotonic time until which this VM alone keeps away,
+            since it can't reach the server itself.
+        n_unreachable: Attempts in a row that could not reach the server.
+        slowness: Running ratio of its answers' time to that of the service.
+        warm_until_s: Monotonic time until which it is slow after its start.
+    """
+
+    server_id: str
+    service: str
+    p_failing: float
+    updated_at_s: float
+    avoided_until_s: float = 0.0
+    n_unreachable: int = 0
+    slowness: float = 1.0
+    warm_until_s: float = 0.0
+
+
+class PeerLoadRow(NamedTuple):
+    """Requests that another VM has in flight at a backend server.
+
+    Attributes:
+        key: ``(vm_id, server_id)``.
+        vm_id: VM that reported it.
+        server_id: Backend server.
+        n_in_flight: Requests sent and not ended.
+    """
+
+    key: tuple[str, str]
+    vm_id: str
+    server_id: str
+    n_in_flight: int
+
+
+class ServerLoadRow(NamedTuple):
+    """Sum of the peers' requests in flight at a backend server.
+
+    Attributes:
+        server_id: Backend server.
+        n_in_flight: Requests in flight from all peers, as last reported.
+    """
+
+    server_id: str
+    n_in_flight: int
+
+
+class ServiceTimeRow(NamedTuple):
+    """How long a service takes to answer.
+
+    Attributes:
+        service: Name of the service.
+        mean_s: Running mean over the answers on this VM.
+        n_answers: Answers so far.
+    """
+
+    service: str
+    mean_s: float
+    n_answers: int
+
+
+class ObservationRow(NamedTuple):
+    """An observation that the next report tells to other VMs.
+
+    Attributes:
+        sequence: Order of the observations.
+        server_id: Backend server.
+        kind: Name of a registered kind of observation.
+        is_for_all: Whether other zones should hear of it too.
+    """
+
+    sequence: int
+    server_id: str
+    kind: str
+    is_for_all: bool
+
+
+def make_beliefs() -> Table[BeliefRow]:
+    """Return an empty table of beliefs."""
+    return Table(BeliefRow, key="server_id", indexes=("service",))
+
+
+def make_peer_loads() -> Table[PeerLoadRow]:
+    """Return an empty table of peers' loads."""
+    return Table(PeerLoadRow, key="key", indexes=("vm_id",))
+
+
+def make_server_loads() -> Table[ServerLoadRow]:
+    """Return an empty table of summed loads."""
+    return Table(ServerLoadRow, key="server_id")
+
+
+def make_service_times() -> Table[ServiceTimeRow]:
+    """Return an empty table of service times."""
+    return Table(ServiceTimeRow, key="service")
+
+
+def make_observations() -> Table[ObservationRow]:
+    """Return an empty table of observations to report."""
+    return Table(ObservationRow, key="sequence")
--- a/burdockhitch/tables/requests.py
+++ b/burdockhitch/tables/requests.py
@@ -50,6 +50,9 @@
         is_routable: Whether it may be forwarded from here.
         may_have_run: Whether an earlier try may have run.
         claim_version: Version of its claim in the platform, 0 for none.
+        caller_request_id: Identity that the caller gave it, empty for none.
+        objective_s: Latency objective of its route; 0 for none.
+        n_tries_max: Backend servers it may be sent to; 0 for the default.
     """
 
     request_id: str
@@ -75,6 +78,9 @@
     is_routable: bool = True
     may_have_run: bool = False
     claim_version: int = 0
+    caller_request_id: str = ""
+    objective_s: float = 0.0
+    n_tries_max: int = 0
 
 
 class AttemptRow(NamedTuple):
--- a/burdockhitch/tables/services.py
+++ b/burdockhitch/tables/services.py
@@ -30,11 +30,17 @@
 
     Attributes:
         service: Name of the service.
-        n_tokens: Retries left; successes add a share of one.
+        n_tokens: Retries left; successes or requests add a share of one.
+        window_started_at_s: Monotonic time at which counting began.
+        n_requests: Requests since then.
+        n_requests_before: Requests in the window before.
     """
 
     service: str
     n_tokens: float
+    window_started_at_s: float = 0.0
+    n_requests: int = 0
+    n_requests_before: int = 0
 
 
 class LatencyRow(NamedTuple):
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -31,6 +31,14 @@
     REAP = "reap"
     EXPIRY = "expiry"
     STOP = "stop"
+    CUTOFF = "cutoff"
+    LEAVE = "leave"
+    OVERDUE = "overdue"
+    HEARTBEAT = "heartbeat"
+    COPY = "copy"
+    REPORT = "report"
+    REGISTRY_READ = "registry_read"
+    DEPARTURE = "departure"
 
 
 class TimerRow(NamedTuple):
--- a/burdockhitch/tables/vms.py
+++ b/burdockhitch/tables/vms.py
@@ -1,5 +1,6 @@
 """Entry VMs as this VM sees them."""
 
+import math
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -30,6 +31,12 @@
         changed_at_s: Monotonic time of the last change of status.
         n_transmissions: How often the last change was gossiped from here.
         is_reachable: Whether this VM's own messages reach it.
+        admin_address: ``ip:port`` for operators and for snapshots; empty when
+            it is not known.
+        is_ready: Whether it can serve callers, by its last report.
+        platform_age_s: How long ago the platform answered it, by its last report.
+        configuration_version: Version of its configuration, by its last report.
+        servers_version: Version of its backend servers, by its last report.
     """
 
     vm_id: str
@@ -43,6 +50,11 @@
     changed_at_s: float = 0.0
     n_transmissions: int = 0
     is_reachable: bool = True
+    admin_address: str = ""
+    is_ready: bool = True
+    platform_age_s: float = math.inf
+    configuration_version: int = 0
+    servers_version: int = 0
 
 
 def make_vms() -> Table[VmRow]:
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -8,12 +8,15 @@
 from burdockhitch.settings import Settings
 from burdockhitch.tables import (
     backend_servers,
+    beliefs,
     ejection_permits,
     health_signals,
     loads,
     mailboxes,
     operations,
+    prefix_routes,
     probes,
+    registry_views,
     requests,
     revisions,
     routes,
@@ -71,6 +74,15 @@
     doubts: Table[health_signals.DoubtRow]
     permits: Table[ejection_permits.PermitRow]
     permit_uses: Table[ejection_permits.PermitUseRow]
+    beliefs: Table[beliefs.BeliefRow]
+    peer_loads: Table[beliefs.PeerLoadRow]
+    server_loads: Table[beliefs.ServerLoadRow]
+    service_times: Table[beliefs.ServiceTimeRow]
+    observations: Table[beliefs.ObservationRow]
+    registry_views: Table[registry_views.ViewRow]
+    departures: Table[registry_views.DepartureRow]
+    configurations: Table[registry_views.ConfigurationDocument]
+    prefix_routes: Table[prefix_routes.PrefixRouteRow]
     routes: Table[routes.RouteRow]
     limits: Table[routes.LimitRow]
     buckets: Table[routes.BucketRow]
@@ -135,6 +147,15 @@
         doubts=health_signals.make_doubts(),
         permits=ejection_permits.make_permits(),
         permit_uses=ejection_permits.make_permit_uses(),
+        beliefs=beliefs.make_beliefs(),
+        peer_loads=beliefs.make_peer_loads(),
+        server_loads=beliefs.make_server_loads(),
+        service_times=beliefs.make_service_times(),
+        observations=beliefs.make_observations(),
+        registry_views=registry_views.make_registry_views(),
+        departures=registry_views.make_departures(),
+        configurations=registry_views.make_configurations(),
+        prefix_routes=prefix_routes.make_prefix_routes(),
         routes=routes.make_routes(),
         limits=routes.make_limits(),
         buckets=routes.make_buckets(),
