--- a/burdockhitch/systems/direct/answers.py
+++ b/burdockhitch/systems/direct/answers.py
@@ -11,8 +11,9 @@
 from burdockhitch.messages import Answer
 from burdockhitch.systems.direct import belief
 from burdockhitch.systems.direct.budget import has_retry, spend_retry
+from burdockhitch.systems.direct.membership import is_leaving
 from burdockhitch.systems.direct.reports import report_observation
-from burdockhitch.systems.direct.selection import find_candidates, mean_time_s
+from burdockhitch.systems.direct.selection import find_candidates, is_hopeless
 from burdockhitch.systems.endings import (
     advance,
     answer_request,
@@ -41,7 +42,6 @@
 # Attempts that never reached a server don't count against the route's limit.
 N_SENDS_MAX = 6
 MEAN_WEIGHT = 0.05
-REMAINING_SHARE_MIN = 0.6
 
 
 def _take_attempt(world: World, attempt_id: int) -> AttemptRow | None:
@@ -78,10 +78,8 @@
     n_tries_max = max(1, row.n_tries_max)
     if row.n_tries >= n_tries_max or not has_retry(world, row.service, now):
         return False
-    remaining_s = row.deadline_s - now.monotonic_s
-    if remaining_s <= REMAINING_SHARE_MIN * mean_time_s(world, row.service):
-        return False
-    return bool(find_candidates(world, row, now))
+    candidates = find_candidates(world, row, now)
+    return any(not is_hopeless(row, candidate, now) for candidate in candidates)
 
 
 def _retry(world: World, row: RequestRow, reason: str, now: Instant) -> None:
@@ -203,13 +201,19 @@
 
 @timer_handlers(TimerKind.OVERDUE)
 def judge_overdue(world: World, attempt_id: str, now: Instant) -> None:
-    """Count a long silence against the server and try another one."""
+    """Count a long silence against the server and try another one.
+
+    A VM that is leaving waits on: its caller could not tell the end of the wait
+    from a request that the stop cut off.
+    """
     attempt = world.attempts.get(int(attempt_id))
     if attempt is None:
         return
     report_observation(world, attempt.server_id, belief.OVERDUE, now)
     row = world.requests.get(attempt.request_id)
-    if row is None or not row.is_idempotent or not _can_retry(world, row, now):
+    if row is None or not row.is_idempotent or is_leaving(world):
+        return
+    if not _can_retry(world, row, now):
         return
     world.attempts.remove(attempt.attempt_id)
     send(world, commands.CancelAttempt(attempt.attempt_id))
--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -9,6 +9,7 @@
 from burdockhitch.systems.direct.selection import (
     Candidate,
     find_candidates,
+    is_hopeless,
     mean_time_s,
     selection_policies,
 )
@@ -29,7 +30,6 @@
 RETRY_AFTER_S = 0.25
 OVERDUE_MEANS = 4.0
 OVERDUE_MIN_S = 0.25
-RUN_SHARE_MIN = 0.6
 
 
 def _send(world: World, row: RequestRow, choice: Candidate, now: Instant) -> None:
@@ -53,8 +53,8 @@
     count(world, "attempts", "service", row.service)
     note_in_flight(world, row.service)
     _log_sent(world, row, choice, now)
-    overdue_s = max(OVERDUE_MIN_S, OVERDUE_MEANS * mean_time_s(world, row.service))
-    due_s = now.monotonic_s + overdue_s
+    usual_s = choice.wait_s + mean_time_s(world, row.service)
+    due_s = now.monotonic_s + max(OVERDUE_MIN_S, OVERDUE_MEANS * usual_s)
     start_timer(world, TimerKind.OVERDUE, str(attempt_id), due_s)
     command = commands.SendAttempt(
         attempt_id,
@@ -86,11 +86,6 @@
     )
 
 
-def _is_hopeless(row: RequestRow, choice: Candidate, now: Instant) -> bool:
-    needed_s = choice.wait_s + RUN_SHARE_MIN * choice.run_s
-    return needed_s > row.deadline_s - now.monotonic_s
-
-
 def _dispatch(world: World, row: RequestRow, now: Instant) -> None:
     candidates = find_candidates(world, row, now)
     if not candidates:
@@ -98,14 +93,17 @@
         refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
         refuse_request(world, row, refusal, now)
         return
-    policy = selection_policies[world.settings.policies.selection]
-    choice = policy(world, row, candidates, now)
-    if _is_hopeless(row, choice, now):
-        detail = f"{row.service} would answer after {choice.wait_s:.3f} s of waiting"
+    hopeful = [
+        candidate for candidate in candidates if not is_hopeless(row, candidate, now)
+    ]
+    if not hopeful:
+        least_s = min(candidate.wait_s for candidate in candidates)
+        detail = f"{row.service} would answer after {least_s:.3f} s of waiting"
         refusal = make_refusal(OverloadedError, detail, RETRY_AFTER_S)
         refuse_request(world, row, refusal, now)
         return
-    _send(world, row, choice, now)
+    policy = selection_policies[world.settings.policies.selection]
+    _send(world, row, policy(world, row, hopeful, now), now)
 
 
 def _order(row: RequestRow) -> tuple[int, float]:
--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -20,12 +20,16 @@
 RETRIED_FAILURE_COST = 0.4
 # A late answer keeps three tenths of its worth.
 LATE_COST = 0.7
+# A wait delays others behind it too.
+WAIT_COST = 0.3
 # Bytes between zones are priced at about a twentieth of a request's worth.
 OTHER_ZONE_COST = 0.05
 TIE_COST = 0.01
 # Shape of the Weibull distribution of answer times: thinner than exponential.
 TIME_SHAPE = 1.5
 UTILISATION_MAX = 0.95
+# Many answers take less than the mean time.
+RUN_SHARE_MIN = 0.6
 WARM_UP_FACTOR = 2.0
 SERVICE_TIME_DEFAULT_S = 0.2
 EXPLORE_P = 0.5
@@ -133,6 +137,12 @@
     return usable or avoided
 
 
+def is_hopeless(row: RequestRow, candidate: Candidate, now: Instant) -> bool:
+    """Return whether a server would hardly answer before the deadline."""
+    needed_s = candidate.wait_s + RUN_SHARE_MIN * candidate.run_s
+    return needed_s > row.deadline_s - now.monotonic_s
+
+
 @selection_policies("random")
 def choose_random(
     world: World, row: RequestRow, candidates: list[Candidate], now: Instant
@@ -174,12 +184,14 @@
             return world.rng.choice(suspects)
     can_retry = row.is_idempotent and row.n_tries_max > len(row.tried) + 1
     failure_cost = RETRIED_FAILURE_COST if can_retry else FAILURE_COST
+    objective_s = row.objective_s or 1.0
 
     def cost(candidate: Candidate) -> float:
         is_far = candidate.server.zone != world.local.zone
         return (
             p_failing(candidate.belief, now) * failure_cost
             + LATE_COST * _p_late(row, candidate, now)
+            + WAIT_COST * candidate.wait_s / objective_s
             + OTHER_ZONE_COST * is_far
             + TIE_COST * world.rng.random()
         )
--- a/burdockhitch/tests/test_direct_requests.py
+++ b/burdockhitch/tests/test_direct_requests.py
@@ -3,6 +3,9 @@
 import pytest
 
 from burdockhitch import events
+from burdockhitch.messages import ServerLoad
+from burdockhitch.systems.direct.belief import FAILURE, SUCCESS, observe
+from burdockhitch.systems.direct.reports import take_loads
 from burdockhitch.tables.prefix_routes import RouteTarget
 from burdockhitch.tests.direct_fakes import (
     HOST,
@@ -223,3 +226,36 @@
         fleet.run(0.021)
     fleet.run(3.0)
     assert not len(fleet.worlds["vm-0"].server_loads)
+
+
+def test_a_server_without_hope_is_not_chosen_for_its_good_record():
+    fleet = start_fleet(n_vms=2, n_servers=2)
+    world = fleet.worlds["vm-0"]
+    now = fleet.clock.now()
+    for _ in range(5):
+        observe(world, "1", SUCCESS, now)
+    observe(world, "2", FAILURE, now)
+    take_loads(world, "vm-1", (ServerLoad("1", 200),))
+    fleet.send("vm-0", remaining_s=0.5)
+    assert [run.server_id for run in fleet.arrivals] == ["2"]
+
+
+@pytest.mark.parametrize(("is_stopped", "n_cancelled"), [(False, 1), (True, 0)])
+def test_a_silent_server_is_left_for_another_but_not_by_a_leaving_vm(
+    is_stopped, n_cancelled
+):
+    fleet = start(["mute", "mute"], timeout_s=3.0)
+    fleet.send("vm-0")
+    if is_stopped:
+        fleet.post("vm-0", events.StopRequested())
+    fleet.run(2.5)
+    assert len(fleet.cancelled) == n_cancelled
+
+
+def test_a_request_that_waits_at_a_busy_server_is_not_overdue():
+    fleet = start_fleet(n_vms=2, n_servers=2)
+    take_loads(fleet.worlds["vm-0"], "vm-1", (ServerLoad("1", 9), ServerLoad("2", 9)))
+    fleet.modes = dict.fromkeys(fleet.modes, "mute")
+    fleet.send("vm-0")
+    fleet.run(0.9)
+    assert fleet.cancelled == []
