--- a/burdockhitch/command.py
+++ b/burdockhitch/command.py
@@ -17,6 +17,7 @@
     LargeDeletionError,
     MergeConflictError,
     PlatformUnavailableError,
+    RequestUnknownError,
     RulesFileError,
     SettingsError,
 )
@@ -260,6 +261,27 @@
         )
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="Identity of the request.")],
+    paths: Annotated[
+        list[Path] | None, typer.Argument(help="Logs; standard input if none.")
+    ] = None,
+) -> None:
+    """Tell what became of one request, from the logs of any number of VMs."""
+    from burdockhitch.explain import find_lines, tell_line
+
+    if paths:
+        texts = [line for path in paths for line in path.read_text().splitlines()]
+    else:
+        texts = sys.stdin.read().splitlines()
+    lines = find_lines(texts, request_id)
+    if not lines:
+        raise RequestUnknownError(request_id)
+    for line in lines:
+        typer.echo(tell_line(line))
+
+
 @standin_app.command("platform")
 def standin_platform(
     address: Annotated[str, typer.Option(help="Address to listen on, ip:port.")],
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -161,6 +161,13 @@
         )
 
 
+class RequestUnknownError(BurdockhitchError):
+    """No line of the logs names a request; it may have been left out."""
+
+    def __str__(self) -> str:
+        return f"no line names request {self.args[0]!r}"
+
+
 class TransitionError(BurdockhitchError):
     """A life cycle has no such transition.
 
--- a/burdockhitch/front_ends.py
+++ b/burdockhitch/front_ends.py
@@ -35,6 +35,5 @@
         path: Settings that the platform filled in.
     """
     from burdockhitch.platform.daemon import run_platform_daemon
-    from burdockhitch.platform.settings import read_platform_settings
 
-    run_platform_daemon(read_platform_settings(path))
+    run_platform_daemon(path)
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from itertools import count
+from pathlib import Path
 from typing import Any
 
 import treq.client
@@ -18,8 +19,10 @@
 from burdockhitch.adapters.servers import make_agent
 from burdockhitch.adapters.state import encode_state
 from burdockhitch.clock import SystemClock
+from burdockhitch.errors import SettingsError
 from burdockhitch.platform import backends, callers, peers, store
 from burdockhitch.platform.process import PlatformProcess, senders
+from burdockhitch.platform.settings import read_platform_settings
 from burdockhitch.settings import Settings
 from burdockhitch.systems import direct
 from burdockhitch.systems.direct.membership import start_membership
@@ -107,7 +110,7 @@
     listen(reactor, settings.vm.caller_address, front, ports)
 
 
-def _handle_signals(process: PlatformProcess) -> None:
+def _handle_signals(process: PlatformProcess, path: Path) -> None:
     # A signal handler runs on the loop's own thread, between two instructions;
     # callFromThread is the call that also wakes the loop from its wait.
     def stop(_number: int, _frame: Any) -> None:
@@ -120,15 +123,43 @@
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
     signal.signal(signal.SIGUSR1, dump)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+    def reload(_number: int, _frame: Any) -> None:
+        process.reactor.callFromThread(report_settings, process.world.settings, path)
 
-def run_platform_daemon(settings: Settings) -> None:
+    signal.signal(signal.SIGHUP, reload)
+
+
+def report_settings(settings: Settings, path: Path) -> None:
+    """Check changed settings and log which sections a restart puts in force.
+
+    Args:
+        settings: Settings in force.
+        path: Settings file.
+    """
+    try:
+        changed = read_platform_settings(path)
+    except SettingsError as error:
+        log.write_event("ERROR", "settings_rejected", {"error": str(error)})
+        return
+    sections = [
+        name
+        for name, section in changed._asdict().items()
+        if section != getattr(settings, name)
+    ]
+    log.write_event("INFO", "settings_read", {"changed_sections": sections})
+
+
+def run_platform_daemon(path: Path) -> None:
     """Run until the VM has left the fleet.
 
     Args:
-        settings: Checked settings.
+        path: Settings that the platform filled in.
+
+    Raises:
+        SettingsError: If they are unusable.
     """
+    settings = read_platform_settings(path)
     from twisted.internet import reactor
 
     loop: Any = reactor
@@ -141,7 +172,7 @@
     start_reading(world, now)
     _listen(process)
     process.ticker.request_tick()
-    loop.callWhenRunning(_handle_signals, process)
+    loop.callWhenRunning(_handle_signals, process, path)
     # Modules stay until the end; the collector need not look at them again.
     gc.freeze()
     log.write_event("INFO", "started", {"incarnation": world.local.incarnation})
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -418,13 +418,13 @@
     fleet.stopped.add(vm_id)
 
 
-def start_fleet(n_vms=3, n_servers=4, seed=1, zones=("a",)):
+def start_fleet(n_vms=3, n_servers=4, seed=1, zones=("a",), **settings):
     """Return a fleet that has settled."""
     fleet = DirectFleet(seed)
     for number in range(n_servers):
         zone = zones[number % len(zones)]
         fleet.add_server(str(number + 1), zone=zone)
     for number in range(n_vms):
-        fleet.add_vm(f"vm-{number}", zones[number % len(zones)])
+        fleet.add_vm(f"vm-{number}", zones[number % len(zones)], **settings)
     fleet.run(3.0)
     return fleet
--- /dev/null
+++ b/burdockhitch/tests/test_explain.py
@@ -0,0 +1,61 @@
+from pathlib import Path
+
+import pytest
+
+from burdockhitch.explain import find_lines, read_line, tell_line
+
+LOG = (Path(__file__).parent / "logs" / "played_day.txt").read_text().splitlines()
+
+
+@pytest.mark.parametrize(
+    ("request_id", "events", "ending"),
+    [
+        (
+            "80759844462b1519",
+            [
+                "request_sent",
+                "server_error",
+                "request_retried",
+                "request_sent",
+                "server_error",
+                "request_answered",
+            ],
+            "caller got 500 of i-926d57316d after 0.01 s",
+        ),
+        (
+            "dc59abbcce9bacf8",
+            ["request_refused"],
+            "refused (Overloaded): tile68a would answer after 0.754 s of waiting; "
+            "tried: none",
+        ),
+        (
+            "842d9e4a4b26017a",
+            ["request_sent", "request_refused"],
+            "unknown (AnswerLost): the deadline passed before the backend server "
+            "answered; tried: i-fd8fb37375",
+        ),
+        (
+            "d73eebb2ef8b5dcb",
+            ["request_sent", "request_retried", "request_sent", "request_answered"],
+            "caller got 200 of i-d11fbfb940 after 0.2757 s",
+        ),
+    ],
+)
+def test_a_request_of_a_played_day_is_explained(request_id, events, ending):
+    lines = find_lines(LOG, request_id)
+    assert [line.event for line in lines] == events
+    assert tell_line(lines[-1]).endswith(ending)
+    assert all(request_id not in tell_line(line) for line in lines)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "no log", "{", "{}", '{"time": 1}', '{"event": "x", "vm": "y"}', "[1]"],
+)
+def test_other_text_is_passed_over(text):
+    assert read_line(text) is None
+
+
+def test_an_event_without_a_story_is_named():
+    line = read_line('{"time": "t", "vm": "v", "event": "new", "request_id": "r"}')
+    assert tell_line(line) == "t v: new"
--- a/burdockhitch/tests/test_platform_documents.py
+++ b/burdockhitch/tests/test_platform_documents.py
@@ -5,13 +5,14 @@
 import pytest
 
 import burdockhitch
-from burdockhitch import commands
+from burdockhitch import commands, log
 from burdockhitch.adapters.exchange import HttpAnswer
 from burdockhitch.errors import DocumentError, SettingsError
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import Answer, RequestMessage
 from burdockhitch.platform import documents
 from burdockhitch.platform.backends import judge_answer, make_request
+from burdockhitch.platform.daemon import report_settings
 from burdockhitch.platform.decoding import (
     decode_configuration,
     decode_rows,
@@ -297,3 +298,30 @@
     ]
     assert len(wire_names()) > 10
     assert found == []
+
+
+@pytest.mark.parametrize(
+    ("changes", "event", "fields"),
+    [
+        ({}, "settings_read", {"changed_sections": []}),
+        (
+            {"bounds.graceS": "9"},
+            "settings_read",
+            {"changed_sections": ["direct"]},
+        ),
+        ({"nodeName": ""}, "settings_rejected", None),
+    ],
+)
+def test_changed_settings_are_checked_and_reported(
+    changes, event, fields, tmp_path, monkeypatch
+):
+    path = tmp_path / "node.ini"
+    path.write_text(fill())
+    settings = read_platform_settings(path)
+    path.write_text(fill(**changes))
+    lines = []
+    monkeypatch.setattr(log, "write_event", lambda *line: lines.append(line))
+    report_settings(settings, path)
+    ((_level, name, logged),) = lines
+    assert name == event
+    assert fields is None or logged == fields
