--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -3,7 +3,6 @@
 import gc
 import random
 import signal
-import sys
 from typing import Any
 
 import treq.client
@@ -15,7 +14,8 @@
 from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
 from burdockhitch.adapters.loop import Ticker
 from burdockhitch.adapters.process import Process, senders
-from burdockhitch.adapters.state import encode_state
+from burdockhitch.adapters.signals import handle_signals
+from burdockhitch.adapters.state import write_dump
 from burdockhitch.clock import SystemClock
 from burdockhitch.settings import Settings
 from burdockhitch.systems.configuration import start_configuration
@@ -79,21 +79,17 @@
 
 
 def _handle_signals(process: Process) -> None:
-    # A signal handler runs on the loop's own thread, between two instructions;
-    # callFromThread is the call that also wakes the loop from its wait.
-    def stop(_number: int, _frame: Any) -> None:
-        process.reactor.callFromThread(process.ticker.post, events.StopRequested())
-
-    def dump(_number: int, _frame: Any) -> None:
-        process.reactor.callFromThread(_write_dump, process.world)
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    signal.signal(signal.SIGUSR1, dump)
-
-
-def _write_dump(world: World) -> None:
-    sys.stderr.write(encode_state(world).decode() + "\n")
+    def stop() -> None:
+        process.ticker.post(events.StopRequested())
+
+    handle_signals(
+        process.reactor,
+        {
+            signal.SIGTERM: stop,
+            signal.SIGINT: stop,
+            signal.SIGUSR1: lambda: write_dump(process.world),
+        },
+    )
 
 
 def check_policies(settings: Settings) -> None:
--- a/burdockhitch/adapters/state.py
+++ b/burdockhitch/adapters/state.py
@@ -1,5 +1,6 @@
 """Dump of a process's state: every table, typed and without secrets."""
 
+import sys
 from typing import Any
 
 import msgspec
@@ -51,3 +52,8 @@
 def encode_state(world: World) -> bytes:
     """Return the dump as JSON."""
     return msgspec.json.encode(dump_state(world), enc_hook=str)
+
+
+def write_dump(world: World) -> None:
+    """Write the dump to standard error."""
+    sys.stderr.write(encode_state(world).decode() + "\n")
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -3,7 +3,6 @@
 import gc
 import random
 import signal
-import sys
 from itertools import count
 from pathlib import Path
 from typing import Any
@@ -17,7 +16,8 @@
 from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
 from burdockhitch.adapters.loop import Ticker
 from burdockhitch.adapters.servers import make_agent
-from burdockhitch.adapters.state import encode_state
+from burdockhitch.adapters.signals import handle_signals
+from burdockhitch.adapters.state import write_dump
 from burdockhitch.clock import SystemClock
 from burdockhitch.errors import SettingsError
 from burdockhitch.platform import backends, callers, peers, store
@@ -111,23 +111,18 @@
 
 
 def _handle_signals(process: PlatformProcess, path: Path) -> None:
-    # A signal handler runs on the loop's own thread, between two instructions;
-    # callFromThread is the call that also wakes the loop from its wait.
-    def stop(_number: int, _frame: Any) -> None:
-        process.reactor.callFromThread(process.ticker.post, events.StopRequested())
-
-    def dump(_number: int, _frame: Any) -> None:
-        state = encode_state(process.world).decode()
-        process.reactor.callFromThread(sys.stderr.write, state + "\n")
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
-    signal.signal(signal.SIGUSR1, dump)
-
-    def reload(_number: int, _frame: Any) -> None:
-        process.reactor.callFromThread(report_settings, process.world.settings, path)
-
-    signal.signal(signal.SIGHUP, reload)
+    def stop() -> None:
+        process.ticker.post(events.StopRequested())
+
+    handle_signals(
+        process.reactor,
+        {
+            signal.SIGTERM: stop,
+            signal.SIGINT: stop,
+            signal.SIGUSR1: lambda: write_dump(process.world),
+            signal.SIGHUP: lambda: report_settings(process.world.settings, path),
+        },
+    )
 
 
 def report_settings(settings: Settings, path: Path) -> None:
--- a/burdockhitch/standins/run.py
+++ b/burdockhitch/standins/run.py
@@ -25,7 +25,8 @@
     from twisted.internet import reactor
 
     loop: Any = reactor
-    listen(loop, address, Site(StoreStandin(loop).app.resource()), [])
+    standin = StoreStandin(loop, SystemClock())
+    listen(loop, address, Site(standin.app.resource()), [])
     loop.run()
 
 
--- a/burdockhitch/standins/store.py
+++ b/burdockhitch/standins/store.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from burdockhitch.clock import Clock
 from burdockhitch.platform import names
 from burdockhitch.platform.documents import (
     WireRow,
@@ -131,12 +132,14 @@
 
     Args:
         reactor: Twisted reactor, for delays.
+        clock: Source of time.
     """
 
     app = Klein()
 
-    def __init__(self, reactor: Any) -> None:
+    def __init__(self, reactor: Any, clock: Clock) -> None:
         self._reactor = reactor
+        self._clock = clock
         self.store = RowStore()
         self._old = self.store
         self._watches: list[Deferred[None]] = []
@@ -241,13 +244,13 @@
         if changed or wait_s <= 0:
             rows = [_wire_row(row) for row in changed]
             return self._answer(WireRows(rows=rows, ver=self.store.version))
-        started_s = self._reactor.seconds()
+        started_s = self._clock.now().monotonic_s
         woken: Deferred[None] = Deferred()
         self._watches.append(woken)
         woken.addTimeout(wait_s, self._reactor, lambda _result, _timeout: None)
 
         def look_again(_result: Any) -> Any:
-            passed_s = self._reactor.seconds() - started_s
+            passed_s = self._clock.now().monotonic_s - started_s
             return self._watch(table, after_version, wait_s - passed_s)
 
         return woken.addCallback(look_again)
@@ -273,7 +276,7 @@
 
     def _is_over_rate(self) -> bool:
         limit = self.faults["calls_per_s"]
-        now_s = self._reactor.seconds()
+        now_s = self._clock.now().monotonic_s
         self._called_at_s = [at_s for at_s in self._called_at_s if now_s - at_s < 1.0]
         if limit and len(self._called_at_s) >= limit:
             return True
--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -15,6 +15,7 @@
     reachable_peers,
     take_loads,
 )
+from burdockhitch.systems.local_vm import make_local_row
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import message_handlers, timer_handlers
 from burdockhitch.tables.registry_views import Subject
@@ -47,18 +48,8 @@
 def start_membership(world: World, now: Instant) -> None:
     """Insert this VM, ask the seeds and write the row to the registry."""
     settings = world.settings.vm
-    own = VmRow(
-        vm_id=settings.vm_id,
-        incarnation=world.local.incarnation,
-        refutation=0,
-        zone=settings.zone,
-        region=settings.region,
-        caller_address=settings.caller_address,
-        message_address=settings.message_address,
-        status=VmStatus.ALIVE,
-        changed_at_s=now.monotonic_s,
-        admin_address=settings.admin_address,
-        is_ready=False,
+    own = make_local_row(world, now)._replace(
+        admin_address=settings.admin_address, is_ready=False
     )
     world.vms.insert(own)
     seeds = tuple(
--- /dev/null
+++ b/burdockhitch/systems/local_vm.py
@@ -0,0 +1,21 @@
+"""The row of this VM as it starts."""
+
+from burdockhitch.clock import Instant
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import World
+
+
+def make_local_row(world: World, now: Instant) -> VmRow:
+    """Return the row of this VM, alive and not yet gossiped."""
+    settings = world.settings.vm
+    return VmRow(
+        vm_id=settings.vm_id,
+        incarnation=world.local.incarnation,
+        refutation=0,
+        zone=settings.zone,
+        region=settings.region,
+        caller_address=settings.caller_address,
+        message_address=settings.message_address,
+        status=VmStatus.ALIVE,
+        changed_at_s=now.monotonic_s,
+    )
--- a/burdockhitch/systems/membership.py
+++ b/burdockhitch/systems/membership.py
@@ -27,6 +27,7 @@
     take_digests,
     whole_view,
 )
+from burdockhitch.systems.local_vm import make_local_row
 from burdockhitch.systems.routing import SILENCE_S
 from burdockhitch.systems.spread import note_revision
 from burdockhitch.systems.timing import message_handlers, timer_handlers
@@ -52,19 +53,7 @@
 
 def start_membership(world: World, now: Instant) -> None:
     """Insert this VM and start to probe and to join."""
-    settings = world.settings.vm
-    own = VmRow(
-        vm_id=settings.vm_id,
-        incarnation=world.local.incarnation,
-        refutation=0,
-        zone=settings.zone,
-        region=settings.region,
-        caller_address=settings.caller_address,
-        message_address=settings.message_address,
-        status=VmStatus.ALIVE,
-        changed_at_s=now.monotonic_s,
-    )
-    world.vms.insert(own)
+    world.vms.insert(make_local_row(world, now))
     join_seeds(world, "", now)
     period_s = world.settings.membership.probe_period_s
     offset_s = world.rng.random() * period_s
