--- a/burdockhitch/platform/callers.py
+++ b/burdockhitch/platform/callers.py
@@ -1,11 +1,9 @@
 """HTTP towards callers on the platform: requests, addresses and readiness."""
 
 import math
-from typing import Any, NamedTuple
+from typing import Any
 
 import msgspec
-from klein import Klein
-from twisted.internet.defer import Deferred
 from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
@@ -27,6 +25,7 @@
 IDLE_TIMEOUT_S = 60
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
 
 
@@ -101,23 +100,9 @@
         return NOT_DONE_YET
 
 
-class OpenRequest(NamedTuple):
-    """A request that waits for its answer.
-
-    Attributes:
-        request: Twisted's request.
-        finished: Fires with the body, where the router writes the answer.
-    """
-
-    request: Any
-    finished: Deferred[bytes] | None
-
-
-def _open(
-    process: PlatformProcess, request: Any, finished: Deferred[bytes] | None = None
-) -> int:
+def _open(process: PlatformProcess, request: Any) -> int:
     number = next(process.numbers)
-    process.callers[number] = OpenRequest(request, finished)
+    process.callers[number] = request
 
     def close(_reason: Any) -> None:
         if process.callers.pop(number, None) is not None:
@@ -144,20 +129,16 @@
     )
 
 
-def _take(process: PlatformProcess, connection_id: int) -> OpenRequest | None:
-    opened: OpenRequest | None = process.callers.pop(connection_id, None)
-    if opened is not None and is_leaving(process.world):
-        opened.request.setHeader("connection", "close")
-        opened.request.channel.persistent = False
-    return opened
+def _take(process: PlatformProcess, connection_id: int) -> Any:
+    request = process.callers.pop(connection_id, None)
+    if request is not None and is_leaving(process.world):
+        request.setHeader("connection", "close")
+        request.channel.persistent = False
+    return request
 
 
-def _finish(opened: OpenRequest, body: bytes) -> None:
-    request = opened.request
+def _finish(request: Any, body: bytes) -> None:
     request.setHeader("content-length", str(len(body)))
-    if opened.finished is not None:
-        opened.finished.callback(body)
-        return
     request.write(body)
     request.finish()
 
@@ -165,74 +146,78 @@
 @senders("AnswerCaller")
 def send_answer(process: PlatformProcess, command: commands.AnswerCaller) -> None:
     """Write a whole answer as the backend server gave it."""
-    opened = _take(process, command.connection_id)
-    if opened is None:
+    request = _take(process, command.connection_id)
+    if request is None:
         return
-    request = opened.request
     answer = command.answer
     request.setResponseCode(answer.status)
     for name, value in answer.headers:
         request.responseHeaders.addRawHeader(name, value.encode("latin-1"))
-    _finish(opened, answer.body)
+    _finish(request, answer.body)
 
 
 @senders("RefuseCaller")
 def send_refusal(process: PlatformProcess, command: commands.RefuseCaller) -> None:
     """Write a problem document; the status says whether the request ran."""
-    opened = _take(process, command.connection_id)
-    if opened is None:
+    request = _take(process, command.connection_id)
+    if request is None:
         return
-    request = opened.request
     refusal = command.refusal
     request.setResponseCode(int(problems[refusal.error].status))
     request.setHeader("content-type", "application/problem+json")
     if refusal.retry_after_s:
         request.setHeader(names.RETRY_AFTER, f"{refusal.retry_after_s:.3f}")
     document = make_document(refusal, command.request_id)
-    _finish(opened, msgspec.json.encode(document))
+    _finish(request, msgspec.json.encode(document))
 
 
 @senders("OfferAddresses")
 def send_offers(process: PlatformProcess, command: commands.OfferAddresses) -> None:
     """Write which addresses to use."""
-    opened = _take(process, command.connection_id)
-    if opened is None:
+    request = _take(process, command.connection_id)
+    if request is None:
         return
-    request = opened.request
     if not command.offers:
         request.setResponseCode(STATUS_UNAVAILABLE)
-        _finish(opened, b"")
+        _finish(request, b"")
         return
     request.setHeader("content-type", "application/json")
     addresses = [offer.address for offer in command.offers]
     document = WireAddresses(addresses=addresses, ttlS=command.keep_s)
-    _finish(opened, msgspec.json.encode(document))
+    _finish(request, msgspec.json.encode(document))
 
 
-class DirectoryFront:
+class DirectoryFront(Resource):
     """Answers callers that ask for addresses, and the platform's checks.
 
     Args:
         process: Parts of the process.
     """
 
-    app = Klein()
+    isLeaf = True
 
     def __init__(self, process: PlatformProcess) -> None:
+        super().__init__()
         self._process = process
 
-    @app.route(names.RESOLVE_PATH, methods=["GET"])
-    def resolve(self, request: Any) -> Any:
-        """Answer which addresses to use for a host."""
+    def render_GET(self, request: Any) -> Any:
+        """Answer by path."""
+        if request.path == names.RESOLVE_PATH.encode():
+            return self._resolve(request)
+        if request.path == names.READY_PATH.encode():
+            return self._tell_ready(request)
+        request.setResponseCode(STATUS_NOT_FOUND)
+        return b""
+
+    def _resolve(self, request: Any) -> Any:
+        """Ask the systems which addresses to use for a host."""
         host = _argument(request, b"name")
         zone = _argument(request, b"zone")
-        finished: Deferred[bytes] = Deferred()
-        number = _open(self._process, request, finished)
+        number = _open(self._process, request)
         self._process.ticker.post(events.AddressesAsked(number, host, "", zone))
-        return finished
+        return NOT_DONE_YET
 
-    @app.route(names.READY_PATH, methods=["GET"])
-    def ready(self, request: Any) -> bytes:
+    def _tell_ready(self, request: Any) -> bytes:
         """Answer whether this VM can serve."""
         world = self._process.world
         own = world.vms.fetch(world.local.vm_id)
@@ -255,4 +240,4 @@
 
 def make_directory_site(process: PlatformProcess) -> Site:
     """Return the factory of the listeners for addresses and readiness."""
-    return Site(DirectoryFront(process).app.resource(), timeout=IDLE_TIMEOUT_S)
+    return Site(DirectoryFront(process), timeout=IDLE_TIMEOUT_S)
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -98,8 +98,8 @@
     reactor, ports = process.reactor, process.ports
     host, _, port = settings.vm.message_address.rpartition(":")
     reactor.listenUDP(int(port), process.datagrams, interface=host)
-    admin = peers.PeerFront(process.world)
-    listen(reactor, settings.vm.admin_address, Site(admin.app.resource()), ports)
+    admin_site = Site(peers.PeerFront(process.world))
+    listen(reactor, settings.vm.admin_address, admin_site, ports)
     directory = callers.make_directory_site(process)
     for address in {
         settings.direct.directory_address,
--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -5,11 +5,10 @@
 
 import msgspec
 import treq
-from klein import Klein
 from twisted.python.failure import Failure
+from twisted.web.resource import Resource
 
 from burdockhitch import commands, events
-from burdockhitch.adapters.admin import AdminFront
 from burdockhitch.errors import SnapshotError
 from burdockhitch.messages import Snapshot
 from burdockhitch.platform import names
@@ -23,21 +22,26 @@
 _decoder = msgspec.msgpack.Decoder(Snapshot)
 
 
-class PeerFront:
+class PeerFront(Resource):
     """Answers other VMs that copy the registry, and operators.
 
     Args:
         world: Tables of this VM.
     """
 
-    app = Klein()
+    isLeaf = True
 
     def __init__(self, world: World) -> None:
+        super().__init__()
         self._world = world
-        self._admin = AdminFront(world).app.resource()
 
-    @app.route(names.SNAPSHOT_PATH, methods=["GET"])
-    def snapshot(self, request: Any) -> bytes:
+    def render(self, request: Any) -> Any:
+        """Answer a copy here, and hand all else to the operators' interface."""
+        if request.path == names.SNAPSHOT_PATH.encode():
+            return self._copy(request)
+        return _admin_resource(self._world).render(request)
+
+    def _copy(self, request: Any) -> bytes:
         """Return what is newer here than the versions in the query."""
         snapshot = make_snapshot(
             self._world,
@@ -46,10 +50,12 @@
         )
         return _encoder.encode(snapshot)
 
-    @app.route("/", branch=True)
-    def admin(self, request: Any) -> Any:
-        """Hand all else to the operators' interface."""
-        return self._admin
+
+def _admin_resource(world: World) -> Any:
+    # The operators' libraries cost a fifth of the start, and few VMs are asked.
+    from burdockhitch.adapters.admin import AdminFront
+
+    return AdminFront(world).app.resource()
 
 
 def _version(request: Any, name: bytes) -> int:
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -21,8 +21,8 @@
 # How long peers may take a slot for busy that came free.
 LOADS_PERIOD_S = 0.1
 LOADS = "loads"
-# Share of a service's slots in use from which VMs tell each other their loads.
-BUSY_SHARE = 0.35
+# Chance that all slots of a server are taken, from which VMs tell their loads.
+FULL_SHARE = 0.08
 IN_FLIGHT_WEIGHT = 0.05
 
 
@@ -83,11 +83,15 @@
     return n_in_flight / n_slots
 
 
+def _is_busy(world: World, service: str) -> bool:
+    servers = world.backend_servers.select("service", service)
+    n_slots = min((server.n_slots for server in servers), default=1)
+    return float(utilisation(world, service) ** n_slots) >= FULL_SHARE
+
+
 def _is_any_busy(world: World) -> bool:
     """Return whether loads matter: below that, free slots are found blindly."""
-    return any(
-        utilisation(world, row.service) >= BUSY_SHARE for row in world.service_times
-    )
+    return any(_is_busy(world, row.service) for row in world.service_times)
 
 
 def _is_load_due(world: World, loads: tuple[ServerLoad, ...], now: Instant) -> bool:
