--- a/burdockhitch/adapters/datagrams.py
+++ b/burdockhitch/adapters/datagrams.py
@@ -47,6 +47,26 @@
     def __init__(self, world: World, post: Any) -> None:
         self._world = world
         self._post = post
+        self._port: Any = None
+
+    def listen(self, reactor: Any, address: str) -> None:
+        """Open the socket; what arrives waits there until it is collected.
+
+        A wake-up for each message would cost more than all else a VM does.
+        """
+        host, _, port = address.rpartition(":")
+        self._port = reactor.listenUDP(int(port), self, interface=host)
+        self._port.stopReading()
+
+    def collect(self) -> None:
+        """Post the messages that have arrived."""
+        if self._port is None:
+            return
+        try:
+            self._port.doRead()
+        except OSError as error:
+            reason = type(error).__name__
+            count(self._world, "messages_dropped", "reason", reason)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Post a message, or count it as dropped."""
--- a/burdockhitch/adapters/loop.py
+++ b/burdockhitch/adapters/loop.py
@@ -16,14 +16,21 @@
         world: Tables of this VM.
         reactor: Twisted reactor.
         deliver: Called with each command of the outbox.
+        collect: Called before the systems run, to post what waits in sockets
+            that don't wake the loop.
     """
 
     def __init__(
-        self, world: World, reactor: Any, deliver: Callable[[str, Any], None]
+        self,
+        world: World,
+        reactor: Any,
+        deliver: Callable[[str, Any], None],
+        collect: Callable[[], None] | None = None,
     ) -> None:
         self._world = world
         self._reactor = reactor
         self._deliver = deliver
+        self._collect = collect
         self._is_requested = False
         self._timer: Any = None
 
@@ -39,6 +46,9 @@
             self._reactor.callLater(0, self._tick)
 
     def _tick(self) -> None:
+        if self._collect is not None:
+            self._collect()
+        # Only now, so that what was collected doesn't request another tick.
         self._is_requested = False
         try:
             run_tick(self._world)
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -25,6 +25,7 @@
 from burdockhitch.platform.settings import read_platform_settings
 from burdockhitch.settings import Settings
 from burdockhitch.systems import direct
+from burdockhitch.systems.direct.collecting import start_collecting
 from burdockhitch.systems.direct.membership import start_membership
 from burdockhitch.systems.direct.reading import start_reading
 from burdockhitch.world import World, make_world
@@ -69,7 +70,7 @@
     def deliver(kind: str, command: Any) -> None:
         senders[kind](process, command)
 
-    ticker = Ticker(world, reactor, deliver)
+    ticker = Ticker(world, reactor, deliver, lambda: process.datagrams.collect())
     server_settings = world.settings.backend_servers
     pool = ExchangePool(
         reactor,
@@ -96,8 +97,7 @@
 def _listen(process: PlatformProcess) -> None:
     settings = process.world.settings
     reactor, ports = process.reactor, process.ports
-    host, _, port = settings.vm.message_address.rpartition(":")
-    reactor.listenUDP(int(port), process.datagrams, interface=host)
+    process.datagrams.listen(reactor, settings.vm.message_address)
     admin_site = Site(peers.PeerFront(process.world))
     listen(reactor, settings.vm.admin_address, admin_site, ports)
     directory = callers.make_directory_site(process)
@@ -165,6 +165,7 @@
     now = world.clock.now()
     start_membership(world, now)
     start_reading(world, now)
+    start_collecting(world, now)
     _listen(process)
     process.ticker.request_tick()
     loop.callWhenRunning(_handle_signals, process, path)
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -39,6 +39,7 @@
     REPORT = "report"
     REGISTRY_READ = "registry_read"
     DEPARTURE = "departure"
+    COLLECT = "collect"
 
 
 class TimerRow(NamedTuple):
--- /dev/null
+++ b/burdockhitch/tests/test_datagrams.py
@@ -0,0 +1,48 @@
+import time
+
+import pytest
+from twisted.internet.selectreactor import SelectReactor
+
+from burdockhitch import commands
+from burdockhitch.adapters.datagrams import Datagrams
+from burdockhitch.messages import Report
+from burdockhitch.tests.fakes import FakeFleet
+
+WAIT_S = 5.0
+
+
+def open_socket(reactor):
+    world = FakeFleet().add_vm("a1", "a")
+    posted = []
+    datagrams = Datagrams(world, posted.append)
+    datagrams.listen(reactor, "127.0.0.1:0")
+    return datagrams, posted
+
+
+def address_of(datagrams):
+    host = datagrams.transport.getHost()
+    return f"{host.host}:{host.port}"
+
+
+def collect_until(datagrams, posted, n_messages):
+    give_up_at_s = time.monotonic() + WAIT_S
+    while len(posted) < n_messages and time.monotonic() < give_up_at_s:
+        datagrams.collect()
+        time.sleep(0.01)
+
+
+@pytest.mark.parametrize("n_messages", [1, 5], ids=["one", "several"])
+def test_messages_wait_until_they_are_collected(n_messages):
+    reactor = SelectReactor()
+    sender, _ = open_socket(reactor)
+    receiver, posted = open_socket(reactor)
+    for _ in range(n_messages):
+        sender.send(
+            commands.BroadcastMessage((address_of(receiver),), Report((), None))
+        )
+    reactor.doIteration(0.05)
+    assert posted == []
+    collect_until(receiver, posted, n_messages)
+    assert [event.message for event in posted] == [Report((), None)] * n_messages
+    sender.transport.stopListening()
+    receiver.transport.stopListening()
--- a/burdockhitch/tests/test_loop.py
+++ b/burdockhitch/tests/test_loop.py
@@ -9,13 +9,15 @@
 from burdockhitch.world import log_event, start_timer
 
 
-def make_ticker(monkeypatch, run_tick):
+def make_ticker(monkeypatch, run_tick, collect=None):
     world = FakeFleet().add_vm("a1", "a")
     world.timers.clear()
     reactor = TwistedClock()
     delivered = []
     monkeypatch.setattr("burdockhitch.adapters.loop.run_tick", run_tick)
-    ticker = Ticker(world, reactor, lambda kind, command: delivered.append(command))
+    ticker = Ticker(
+        world, reactor, lambda kind, command: delivered.append(command), collect
+    )
     return world, reactor, ticker, delivered
 
 
@@ -49,3 +51,23 @@
     reactor.advance(0.0)
     assert commands.LogEvent("INFO", "waiting", {}) in delivered
     assert [call.getTime() for call in reactor.getDelayedCalls()] == [3.0]
+
+
+@pytest.mark.parametrize("n_waiting", [0, 1, 3], ids=["none", "one", "some"])
+def test_what_waits_in_sockets_is_collected_by_the_tick_that_runs(
+    monkeypatch, n_waiting
+):
+    seen = []
+
+    def collect():
+        for _ in range(n_waiting):
+            ticker.post(events.StopRequested())
+
+    def run_tick(world):
+        seen.append(len(world.inbox))
+        world.inbox.clear()
+
+    _, reactor, ticker, _ = make_ticker(monkeypatch, run_tick, collect)
+    ticker.request_tick()
+    reactor.advance(10.0)
+    assert seen == [n_waiting]
