--- a/burdockhitch/adapters/exchange.py
+++ b/burdockhitch/adapters/exchange.py
@@ -9,9 +9,8 @@
 from typing import Any, NamedTuple
 
 import h11
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
 from burdockhitch.adapters.headers import HeaderPairs, decode_pairs, find_header
@@ -22,7 +21,6 @@
 # A connection is not used again in the last part of the server's own time.
 KEEP_SHARE = 0.6
 KEEP_DEFAULT_S = 5.0
-KEPT_PER_SERVER = 4
 
 
 class HttpRequest(NamedTuple):
@@ -33,7 +31,7 @@
         target: Path with its query.
         headers: Names and values.
         body: Whole body.
-        request_id: Identity that the answer must repeat.
+        request_id: Identity that an answer with one must repeat; may be empty.
     """
 
     method: str
@@ -68,6 +66,9 @@
         on_idle: Called when the connection may be used again, with the time
             for which it may be kept in seconds.
         on_lost: Called when the connection is gone.
+
+    Attributes:
+        on_open: Called when the connection is open.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self._max_bytes = max_bytes
         self._on_idle = on_idle
         self._on_lost = on_lost
+        self.on_open: Callable[[Exchange], None] | None = None
         self._codec = h11.Connection(h11.CLIENT)
         self._request: HttpRequest | None = None
         self._done: Done | None = None
@@ -88,9 +90,11 @@
         self._is_lost = False
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Send small segments at once."""
+        """Send small segments at once, and tell that the connection is open."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        if self.on_open is not None:
+            self.on_open(self)
 
     def start(self, request: HttpRequest, done: Done) -> None:
         """Send a request; ``done`` is called once with its end."""
@@ -175,7 +179,8 @@
         assert self._request is not None and self._response is not None
         pairs = decode_pairs(self._response.headers)
         answered_id = find_header(pairs, REQUEST_ID)
-        if answered_id and answered_id != self._request.request_id:
+        own_id = self._request.request_id
+        if answered_id and own_id and answered_id != own_id:
             self._skip_foreign()
             return
         answer = HttpAnswer(self._response.status_code, pairs, b"".join(self._parts))
@@ -238,91 +243,3 @@
         if name.lower() == "timeout" and value.strip().isdecimal():
             return min(KEEP_DEFAULT_S, KEEP_SHARE * int(value))
     return KEEP_DEFAULT_S
-
-
-class ExchangeFactory(Factory):
-    """Makes the connections of a pool."""
-
-    noisy = False
-
-    def __init__(self, make: Callable[[], Exchange]) -> None:
-        self._make = make
-
-    def buildProtocol(self, addr: Any) -> Exchange:  # noqa: N802
-        """Return a new connection."""
-        return self._make()
-
-
-class _Kept(NamedTuple):
-    exchange: Exchange
-    until_s: float
-
-
-class ExchangePool:
-    """Kept connections by address.
-
-    Args:
-        reactor: Twisted reactor.
-        now_s: Returns the time on the monotonic clock.
-        connect_timeout_s: Time to open a connection.
-        max_bytes: Bound of an answer's body.
-    """
-
-    def __init__(
-        self,
-        reactor: Any,
-        now_s: Callable[[], float],
-        connect_timeout_s: float,
-        max_bytes: int,
-    ) -> None:
-        self._reactor = reactor
-        self._now_s = now_s
-        self._connect_timeout_s = connect_timeout_s
-        self._max_bytes = max_bytes
-        self._kept: dict[str, list[_Kept]] = {}
-
-    def take(self, address: str) -> Exchange | None:
-        """Return the connection that was used last, if one may be used."""
-        kept = self._kept.get(address, [])
-        now_s = self._now_s()
-        while kept:
-            entry = kept.pop()
-            if entry.until_s > now_s:
-                return entry.exchange
-            entry.exchange.abort()
-        return None
-
-    def connect(
-        self,
-        address: str,
-        on_open: Callable[[Exchange], None],
-        on_failure: Callable[[], None],
-    ) -> Any:
-        """Open a connection.
-
-        Returns:
-            The deferred, for cancellation.
-        """
-        host, _, port = address.rpartition(":")
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, host, int(port), timeout=self._connect_timeout_s
-        )
-        factory = ExchangeFactory(
-            lambda: Exchange(
-                self._max_bytes,
-                lambda exchange, keep_s: self._keep(address, exchange, keep_s),
-                lambda exchange: self._forget(address, exchange),
-            )
-        )
-        opened = endpoint.connect(factory)
-        return opened.addCallbacks(on_open, lambda _failure: on_failure())
-
-    def _keep(self, address: str, exchange: Exchange, keep_s: float) -> None:
-        kept = self._kept.setdefault(address, [])
-        kept.append(_Kept(exchange, self._now_s() + keep_s))
-        if len(kept) > KEPT_PER_SERVER:
-            kept.pop(0).exchange.abort()
-
-    def _forget(self, address: str, exchange: Exchange) -> None:
-        kept = self._kept.get(address, [])
-        kept[:] = [entry for entry in kept if entry.exchange is not exchange]
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -276,6 +276,10 @@
         return f"{self.name}: {self.reason}"
 
 
+class ExchangeFailedError(BurdockhitchError):
+    """A call over HTTP ended without a whole answer."""
+
+
 class SnapshotError(BurdockhitchError):
     """A peer's copy of the registry can't be read."""
 
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -7,15 +7,13 @@
 from pathlib import Path
 from typing import Any
 
-import treq.client
 from twisted.web.server import Site
 
 from burdockhitch import commands, events, log
+from burdockhitch.adapters.connections import ExchangePool
 from burdockhitch.adapters.datagrams import Datagrams
-from burdockhitch.adapters.exchange import ExchangePool
 from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
 from burdockhitch.adapters.loop import Ticker
-from burdockhitch.adapters.servers import make_agent
 from burdockhitch.adapters.signals import handle_signals
 from burdockhitch.adapters.state import write_dump
 from burdockhitch.clock import SystemClock
@@ -78,7 +76,6 @@
         server_settings.connect_timeout_s,
         server_settings.answer_max_bytes,
     )
-    agent = make_agent(reactor, world.settings.platform.timeout_s)
     process = PlatformProcess(
         world=world,
         reactor=reactor,
@@ -86,7 +83,6 @@
         callers={},
         attempts={},
         pool=pool,
-        http_client=treq.client.HTTPClient(agent),
         datagrams=Datagrams(world, ticker.post),
         ports=[],
         numbers=count(1),
--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -4,11 +4,12 @@
 from urllib.parse import urlencode
 
 import msgspec
-import treq
 from twisted.python.failure import Failure
 from twisted.web.resource import Resource
 
 from burdockhitch import commands, events
+from burdockhitch.adapters.connections import call_http, make_call
+from burdockhitch.adapters.exchange import HttpAnswer
 from burdockhitch.errors import SnapshotError
 from burdockhitch.messages import Snapshot
 from burdockhitch.platform import names
@@ -72,19 +73,17 @@
             "servers": command.servers_version,
         }
     )
-    url = f"http://{command.admin_address}{names.SNAPSHOT_PATH}?{query}"
-    asked = process.http_client.get(url, timeout=TIMEOUT_S)
+    path = f"{names.SNAPSHOT_PATH}?{query}"
+    request = make_call(command.admin_address, "GET", path)
 
-    def read(response: Any) -> Any:
-        if response.code != STATUS_OK:
-            raise SnapshotError(str(response.code))
-        return treq.content(response).addTimeout(TIMEOUT_S, process.reactor)
-
-    def succeed(body: bytes) -> None:
-        snapshot = _decoder.decode(body)
+    def succeed(answer: HttpAnswer) -> None:
+        if answer.status != STATUS_OK:
+            raise SnapshotError(str(answer.status))
+        snapshot = _decoder.decode(answer.body)
         process.ticker.post(events.SnapshotRead(command.operation_id, None, snapshot))
 
     def fail(failure: Failure) -> None:
         process.ticker.post(events.SnapshotRead(command.operation_id, failure.type))
 
-    asked.addCallback(read).addCallback(succeed).addErrback(fail)
+    asked = call_http(process.reactor, command.admin_address, request, TIMEOUT_S)
+    asked.addCallback(succeed).addErrback(fail)
--- a/burdockhitch/platform/process.py
+++ b/burdockhitch/platform/process.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from burdockhitch.adapters.exchange import ExchangePool
+from burdockhitch.adapters.connections import ExchangePool
 from burdockhitch.registry import Registry
 from burdockhitch.world import World
 
@@ -18,7 +18,6 @@
         callers: Open caller requests by connection number.
         attempts: Connections in use by attempt, or the deferred that opens one.
         pool: Connections to backend servers.
-        http_client: HTTP client for the store and for peers.
         datagrams: Socket to other VMs.
         ports: Listening ports.
         numbers: Numbers of callers' connections, from 1.
@@ -30,7 +29,6 @@
     callers: dict[int, Any]
     attempts: dict[int, Any]
     pool: ExchangePool
-    http_client: Any
     datagrams: Any
     ports: list[Any]
     numbers: Iterator[int]
--- a/burdockhitch/platform/store.py
+++ b/burdockhitch/platform/store.py
@@ -5,14 +5,16 @@
 from urllib.parse import urlencode
 
 import msgspec
-import treq
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
 from burdockhitch import commands, events, log
+from burdockhitch.adapters.connections import call_http, make_call
+from burdockhitch.adapters.exchange import HttpAnswer
 from burdockhitch.errors import (
     BurdockhitchError,
     DocumentError,
+    ExchangeFailedError,
     PlatformBusyError,
     PlatformConflictError,
     PlatformHistoryGoneError,
@@ -77,7 +79,7 @@
     method: str,
     path: str,
     timeout_s: float,
-    body: bytes | None = None,
+    body: bytes = b"",
 ) -> Deferred[bytes]:
     """Call the store and return the body of its answer.
 
@@ -85,32 +87,21 @@
         PlatformUnavailableError: If nothing usable came back in time.
     """
     address = process.world.settings.platform.address
-    headers = {"content-type": "application/json"} if body else {}
-    asked = process.http_client.request(
-        method,
-        f"http://{address}{path}",
-        data=body,
-        headers=headers,
-        timeout=timeout_s,
-    )
-
-    def read(response: Any) -> Deferred[Any]:
-        received = treq.content(response).addTimeout(timeout_s, process.reactor)
-        return received.addCallback(lambda content: (response.code, content))
-
-    def check(result: tuple[int, bytes]) -> bytes:
-        status, content = result
-        if status == STATUS_OK:
-            return content
-        raise ERROR_BY_STATUS.get(status, PlatformUnavailableError)(str(status))
+    request = make_call(address, method, path, body)
+
+    def check(answer: HttpAnswer) -> bytes:
+        if answer.status == STATUS_OK:
+            return answer.body
+        error = ERROR_BY_STATUS.get(answer.status, PlatformUnavailableError)
+        raise error(str(answer.status))
 
     def translate(failure: Failure) -> Failure:
-        if failure.check(BurdockhitchError):
-            return failure
-        return Failure(PlatformUnavailableError(failure.getErrorMessage()))
+        if failure.check(ExchangeFailedError):
+            return Failure(PlatformUnavailableError(failure.getErrorMessage()))
+        return failure
 
-    answered: Deferred[bytes] = asked.addCallback(read).addCallback(check)
-    return answered.addErrback(translate)
+    asked = call_http(process.reactor, address, request, timeout_s)
+    return asked.addErrback(translate).addCallback(check)
 
 
 def _decode_part(
