--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -41,6 +41,7 @@
         n_tries=row.n_tries + 1,
     )
     advance(world, row, "dispatch", now)
+    note_in_flight(world, row.service)
     world.attempts.insert(
         AttemptRow(
             attempt_id,
@@ -48,10 +49,10 @@
             server.server_id,
             row.service,
             now.monotonic_s,
+            choice.wait_s,
         )
     )
     count(world, "attempts", "service", row.service)
-    note_in_flight(world, row.service)
     _log_sent(world, row, choice, now)
     usual_s = choice.wait_s + mean_time_s(world, row.service)
     due_s = now.monotonic_s + max(OVERDUE_MIN_S, OVERDUE_MEANS * usual_s)
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -64,7 +64,11 @@
 
 
 def note_in_flight(world: World, service: str) -> None:
-    """Follow how many requests of a service this VM has in flight."""
+    """Follow how many requests of a service this VM has in flight.
+
+    It is called before each send, and must not count that request: what arrivals
+    see is the mean over time, and one more on each VM would look like overload.
+    """
     row = world.service_times.get(service)
     if row is None:
         return
--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -182,7 +182,11 @@
         suspects = _find_suspects(candidates, now)
         if suspects:
             return world.rng.choice(suspects)
-    can_retry = row.is_idempotent and row.n_tries_max > len(row.tried) + 1
+    can_retry = (
+        row.is_idempotent
+        and row.n_tries_max > len(row.tried) + 1
+        and has_retry(world, row.service, now)
+    )
     failure_cost = RETRIED_FAILURE_COST if can_retry else FAILURE_COST
     objective_s = row.objective_s or 1.0
 
--- a/burdockhitch/tables/requests.py
+++ b/burdockhitch/tables/requests.py
@@ -92,6 +92,7 @@
         server_id: Backend server.
         service: Service.
         started_at_s: Monotonic time of the sending.
+        wait_s: Time it was expected to wait for a slot of the server.
     """
 
     attempt_id: int
@@ -99,6 +100,7 @@
     server_id: str
     service: str
     started_at_s: float
+    wait_s: float = 0.0
 
 
 class UnknownRow(NamedTuple):
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -41,7 +41,8 @@
 @behaviours("ok")
 def answer_well(fleet, attempt):
     """Run the request and answer well."""
-    return SERVICE_TIME_S, True, Answer(200, (("server", attempt.address),), b"done")
+    time_s = SERVICE_TIME_S + fleet.server_waits.get(attempt.server_id, 0.0)
+    return time_s, True, Answer(200, (("server", attempt.address),), b"done")
 
 
 @behaviours("error")
@@ -153,6 +154,7 @@
         self.worlds: dict[str, World] = {}
         self.registry = FakeRegistry()
         self.modes: dict[str, str] = {}
+        self.server_waits: dict[str, float] = {}
         self.cuts: set[tuple[str, str]] = set()
         self.loss_ratio = 0.0
         self.runs: list[Run] = []
--- /dev/null
+++ b/burdockhitch/tests/test_direct_selection.py
@@ -0,0 +1,71 @@
+import pytest
+
+from burdockhitch.messages import ServerLoad
+from burdockhitch.systems.direct.belief import FAILURE, observe
+from burdockhitch.systems.direct.budget import has_retry, spend_retry
+from burdockhitch.systems.direct.reports import take_loads, utilisation
+from burdockhitch.systems.direct.selection import mean_time_s
+from burdockhitch.tests.direct_fakes import (
+    SERVICE,
+    SERVICE_TIME_S,
+    make_route,
+    start_fleet,
+)
+
+ONCE = {"is_idempotent": False}
+
+
+def send_in_turn(fleet, n_requests, n_at_once=1):
+    """Send requests, the next ones when the last ones have ended."""
+    for _ in range(n_requests):
+        for _ in range(n_at_once):
+            fleet.send("vm-0")
+        fleet.run(4 * SERVICE_TIME_S)
+
+
+@pytest.mark.parametrize(
+    ("n_vms", "n_at_once", "least", "most"),
+    [(1, 1, 0.0, 0.01), (6, 1, 0.0, 0.01), (1, 9, 0.15, 0.35)],
+    ids=["alone", "among others", "many at once"],
+)
+def test_a_request_does_not_count_itself_as_load(n_vms, n_at_once, least, most):
+    fleet = start_fleet(n_vms=n_vms, n_servers=4)
+    send_in_turn(fleet, 40, n_at_once)
+    assert least <= utilisation(fleet.worlds["vm-0"], SERVICE) <= most
+
+
+@pytest.mark.parametrize("n_queued", [0, 8, 40])
+def test_waiting_at_a_server_is_no_time_of_the_service(n_queued):
+    fleet = start_fleet(n_vms=2, n_servers=1)
+    world = fleet.worlds["vm-0"]
+    send_in_turn(fleet, 20)
+    n_slots = world.backend_servers.fetch("1").n_slots
+    waited_s = max(0, n_queued + 1 - n_slots) * SERVICE_TIME_S / n_slots
+    fleet.server_waits["1"] = waited_s
+    for _ in range(40):
+        take_loads(world, "vm-1", (ServerLoad("1", n_queued),))
+        fleet.send("vm-0")
+        fleet.run(2.0)
+    assert mean_time_s(world, SERVICE) == pytest.approx(SERVICE_TIME_S, rel=0.1)
+
+
+@pytest.mark.parametrize("has_budget", [True, False])
+def test_a_suspect_is_cheap_only_while_a_retry_may_follow(has_budget):
+    fleet = start_fleet(n_vms=2, n_servers=2)
+    fleet.configure(2, make_route(n_tries_max=2))
+    fleet.run(1.0)
+    world = fleet.worlds["vm-0"]
+    send_in_turn(fleet, 10)
+    now = world.clock.now()
+    while not has_budget and has_retry(world, SERVICE, now):
+        spend_retry(world, SERVICE, now)
+    for _ in range(3):
+        observe(world, "1", FAILURE, now)
+    n_slots = world.backend_servers.fetch("2").n_slots
+    take_loads(world, "vm-1", (ServerLoad("2", 2 * n_slots),))
+    fleet.arrivals.clear()
+    # Fewer than earn a retry of their own.
+    for _ in range(5):
+        fleet.send("vm-0")
+    first = [arrival.server_id for arrival in fleet.arrivals]
+    assert ("1" in first) == has_budget
