--- a/burdockhitch/adapters/codec.py
+++ b/burdockhitch/adapters/codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from burdockhitch import direct_messages
 from burdockhitch.errors import (
     MessageFleetError,
     MessageFormatError,
@@ -12,6 +13,8 @@
 )
 from burdockhitch.messages import vm_messages
 
+# Importing this module fills the registry of messages too.
+REGISTERED_MODULES = (direct_messages,)
 MESSAGE_VERSION = b"1"
 N_FRAMES = 5
 
--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -3,7 +3,8 @@
 from enum import StrEnum
 from typing import Any, NamedTuple
 
-from burdockhitch.messages import Answer, RequestMessage, Snapshot
+from burdockhitch.direct_messages import Snapshot
+from burdockhitch.messages import Answer, RequestMessage
 
 
 class AttemptFailure(StrEnum):
--- a/burdockhitch/messages.py
+++ b/burdockhitch/messages.py
@@ -3,9 +3,6 @@
 from typing import Any, NamedTuple
 
 from burdockhitch.registry import Registry
-from burdockhitch.tables.backend_servers import BackendServerRow
-from burdockhitch.tables.registry_views import ConfigurationDocument
-from burdockhitch.tables.vms import VmRow
 
 vm_messages: Registry[Any] = Registry("message between VMs")
 
@@ -357,66 +354,3 @@
 
     server_id: str
     duration_s: float
-
-
-class Snapshot(NamedTuple):
-    """A VM's copy of the registry; parts that the reader holds are left out.
-
-    Attributes:
-        configuration: Configuration in force, if it is newer.
-        servers_version: Version of the backend servers.
-        servers: All backend servers, if they are newer.
-        vms: VMs that the sender knows.
-    """
-
-    configuration: ConfigurationDocument | None
-    servers_version: int
-    servers: tuple[BackendServerRow, ...] | None
-    vms: tuple[VmRow, ...]
-
-
-class ServerLoad(NamedTuple):
-    """Requests in flight from the sender to a backend server."""
-
-    server_id: str
-    n_in_flight: int
-
-
-class Observation(NamedTuple):
-    """What one attempt showed about a backend server.
-
-    Attributes:
-        server_id: Backend server.
-        kind: Name of a registered kind of observation.
-    """
-
-    server_id: str
-    kind: str
-
-
-@vm_messages("heartbeat")
-class Heartbeat(NamedTuple):
-    """The sender lives.
-
-    Attributes:
-        row: The sender's own row.
-        loads: Its requests in flight.
-        is_answer_wanted: Whether the receiver should answer with its own.
-    """
-
-    row: VmRow
-    loads: tuple[ServerLoad, ...]
-    is_answer_wanted: bool = False
-
-
-@vm_messages("report")
-class Report(NamedTuple):
-    """What the sender observed and has in flight.
-
-    Attributes:
-        observations: Observations since the last report.
-        loads: Its requests in flight, None when they are left out.
-    """
-
-    observations: tuple[Observation, ...]
-    loads: tuple[ServerLoad, ...] | None
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -23,9 +23,7 @@
 from burdockhitch.platform.settings import read_platform_settings
 from burdockhitch.settings import Settings
 from burdockhitch.systems import direct
-from burdockhitch.systems.direct.collecting import start_collecting
-from burdockhitch.systems.direct.membership import start_membership
-from burdockhitch.systems.direct.reading import start_reading
+from burdockhitch.systems.direct.starting import start_vm
 from burdockhitch.world import World, make_world
 
 # Importing these modules fills the registries of senders and systems.
@@ -159,9 +157,7 @@
     world = make_world(settings, clock, random.Random())
     process = make_process(world, loop)
     now = world.clock.now()
-    start_membership(world, now)
-    start_reading(world, now)
-    start_collecting(world, now)
+    start_vm(world, now)
     _listen(process)
     process.ticker.request_tick()
     loop.callWhenRunning(_handle_signals, process, path)
--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -10,8 +10,8 @@
 from burdockhitch import commands, events
 from burdockhitch.adapters.connections import call_http, make_call
 from burdockhitch.adapters.exchange import HttpAnswer
+from burdockhitch.direct_messages import Snapshot
 from burdockhitch.errors import SnapshotError
-from burdockhitch.messages import Snapshot
 from burdockhitch.platform import names
 from burdockhitch.platform.process import PlatformProcess, senders
 from burdockhitch.systems.direct.snapshots import make_snapshot
--- a/burdockhitch/systems/direct/__init__.py
+++ b/burdockhitch/systems/direct/__init__.py
@@ -16,6 +16,8 @@
     selection,
     servers,
     snapshots,
+    starting,
+    zone_loads,
 )
 
 __all__ = [
@@ -34,4 +36,6 @@
     "selection",
     "servers",
     "snapshots",
+    "starting",
+    "zone_loads",
 ]
--- a/burdockhitch/systems/direct/answers.py
+++ b/burdockhitch/systems/direct/answers.py
@@ -81,7 +81,7 @@
     weight = max(MEAN_WEIGHT, 1.0 / (row.n_answers + 1))
     mean_s = row.mean_s + weight * (run_s - row.mean_s)
     world.service_times.put(row._replace(mean_s=mean_s, n_answers=row.n_answers + 1))
-    belief.note_reached(world, attempt.server_id, run_s / max(0.001, mean_s))
+    belief.note_reached(world, attempt.server_id, run_s / max(0.001, mean_s), now)
 
 
 def _can_retry(world: World, row: RequestRow, now: Instant) -> bool:
--- a/burdockhitch/systems/direct/belief.py
+++ b/burdockhitch/systems/direct/belief.py
@@ -26,6 +26,10 @@
 AVOID_MAX_S = 4.0
 SLOWNESS_WEIGHT = 0.3
 SLOWNESS_MAX = 10.0
+# A slow spell lasts a little longer than one of failures on the same deployments.
+SLOWNESS_RELAXATION_S = 4.0
+# An answer counts as overdue after this multiple of the usual time.
+OVERDUE_MEANS = 4.0
 
 
 class ObservationKind(NamedTuple):
@@ -58,6 +62,20 @@
     return P_FAILING_STATIONARY + (row.p_failing - P_FAILING_STATIONARY) * remembered
 
 
+def slowness(row: BeliefRow, now: Instant) -> float:
+    """Return how many times longer than usual a server takes now."""
+    elapsed_s = now.monotonic_s - row.slowness_at_s
+    remembered = math.exp(-max(0.0, elapsed_s) / SLOWNESS_RELAXATION_S)
+    return 1.0 + (row.slowness - 1.0) * remembered
+
+
+def _note_ratio(row: BeliefRow, ratio: float, now: Instant) -> BeliefRow:
+    known = slowness(row, now)
+    capped = min(SLOWNESS_MAX, ratio)
+    changed = known + SLOWNESS_WEIGHT * (capped - known)
+    return row._replace(slowness=changed, slowness_at_s=now.monotonic_s)
+
+
 def observe(world: World, server_id: str, kind: str, now: Instant) -> float | None:
     """Update the belief about a server.
 
@@ -72,6 +90,9 @@
     failing = before * likelihood.p_if_failing
     sound = (1.0 - before) * likelihood.p_if_sound
     after = min(P_MAX, max(P_MIN, failing / (failing + sound)))
+    if kind == OVERDUE:
+        # It takes at least as long; how much longer shows when it answers.
+        row = _note_ratio(row, max(OVERDUE_MEANS, slowness(row, now)), now)
     world.beliefs.replace(row._replace(p_failing=after, updated_at_s=now.monotonic_s))
     return before
 
@@ -98,19 +119,17 @@
         world.beliefs.replace(row._replace(avoided_until_s=until_s))
 
 
-def note_reached(world: World, server_id: str, ratio: float) -> None:
+def note_reached(world: World, server_id: str, ratio: float, now: Instant) -> None:
     """Note that a server answered.
 
     Args:
         world: Tables of this VM.
         server_id: Backend server.
         ratio: Time of the answer, relative to the mean of its service.
+        now: Time of the answer.
     """
     row = world.beliefs.get(server_id)
     if row is None:
         return
-    capped = min(SLOWNESS_MAX, ratio)
-    slowness = row.slowness + SLOWNESS_WEIGHT * (capped - row.slowness)
-    world.beliefs.replace(
-        row._replace(slowness=slowness, n_unreachable=0, avoided_until_s=0.0)
-    )
+    row = _note_ratio(row, ratio, now)
+    world.beliefs.replace(row._replace(n_unreachable=0, avoided_until_s=0.0))
--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -3,7 +3,7 @@
 from burdockhitch import commands
 from burdockhitch.clock import Instant
 from burdockhitch.errors import NoBackendServerError, OverloadedError
-from burdockhitch.systems.direct.belief import p_failing
+from burdockhitch.systems.direct.belief import OVERDUE_MEANS, p_failing
 from burdockhitch.systems.direct.configuration import view_of
 from burdockhitch.systems.direct.reports import note_in_flight
 from burdockhitch.systems.direct.selection import (
@@ -28,7 +28,6 @@
 )
 
 RETRY_AFTER_S = 0.25
-OVERDUE_MEANS = 4.0
 OVERDUE_MIN_S = 0.25
 
 
--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -8,12 +8,12 @@
 
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
-from burdockhitch.messages import Heartbeat
+from burdockhitch.direct_messages import Heartbeat
 from burdockhitch.systems.direct.configuration import view_of
 from burdockhitch.systems.direct.reports import (
-    own_loads,
     reachable_peers,
     take_loads,
+    told_loads,
 )
 from burdockhitch.systems.local_vm import make_local_row
 from burdockhitch.systems.phases import DIRECT, Phase, system
@@ -58,7 +58,7 @@
         if address != settings.message_address
     )
     if seeds:
-        message = Heartbeat(own, (), True)
+        message = Heartbeat(own, None, True)
         send(world, commands.BroadcastMessage(seeds, message))
     write_own_row(world, WRITE, now)
     offset_s = world.rng.random() * HEARTBEAT_S
@@ -116,14 +116,17 @@
 def announce(world: World, now: Instant, is_far: bool = True) -> None:
     """Send this VM's state to the zone, and to the other zones if wanted."""
     own = refresh_own(world, now)
-    message = Heartbeat(own, ())
-    addresses = tuple(
-        vm.message_address
-        for vm in reachable_peers(world)
-        if is_far or vm.zone == own.zone
-    )
+    peers = reachable_peers(world)
+    near = [vm.message_address for vm in peers if vm.zone == own.zone]
+    _send_heartbeat(world, near, Heartbeat(own, told_loads(world)))
+    if is_far:
+        far = [vm.message_address for vm in peers if vm.zone != own.zone]
+        _send_heartbeat(world, far, Heartbeat(own, None))
+
+
+def _send_heartbeat(world: World, addresses: list[str], message: Heartbeat) -> None:
     if addresses:
-        send(world, commands.BroadcastMessage(addresses, message))
+        send(world, commands.BroadcastMessage(tuple(addresses), message))
 
 
 def _is_silent(world: World, vm: VmRow, now: Instant) -> bool:
@@ -203,9 +206,10 @@
         return
     is_new = sender_vm_id not in world.vms
     keep_vm(world, message.row, now)
-    take_loads(world, sender_vm_id, message.loads)
+    if message.loads is not None:
+        take_loads(world, sender_vm_id, message.loads)
     if message.is_answer_wanted or is_new:
         own = refresh_own(world, now)
         addresses = (message.row.message_address,)
-        reply = Heartbeat(own, own_loads(world))
+        reply = Heartbeat(own, told_loads(world))
         send(world, commands.BroadcastMessage(addresses, reply))
--- a/burdockhitch/systems/direct/reading.py
+++ b/burdockhitch/systems/direct/reading.py
@@ -45,23 +45,25 @@
     start_timer(world, TimerKind.REGISTRY_READ, DUTY, now.monotonic_s)
 
 
-def _rank(zone: str, vm_id: str) -> bytes:
+def rank_in_zone(zone: str, vm_id: str) -> bytes:
+    """Return a VM's place in the order in which those of a zone take duties."""
     return hashlib.blake2b(f"{zone}|{vm_id}".encode(), digest_size=8).digest()
 
 
-def _better_ranked(world: World) -> list[VmRow]:
+def better_ranked(world: World) -> list[VmRow]:
+    """Return the living VMs of this zone that take duties before this one."""
     zone = world.local.zone
-    own = _rank(zone, world.local.vm_id)
+    own = rank_in_zone(zone, world.local.vm_id)
     return [
         vm
         for vm in world.vms.select("zone", zone)
-        if vm.status is VmStatus.ALIVE and _rank(zone, vm.vm_id) < own
+        if vm.status is VmStatus.ALIVE and rank_in_zone(zone, vm.vm_id) < own
     ]
 
 
 def is_reader(world: World, now: Instant) -> bool:
     """Return whether this VM has to read the platform's registry."""
-    better = _better_ranked(world)
+    better = better_ranked(world)
     if len(better) >= READERS_MAX:
         return False
     return all(
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -1,8 +1,10 @@
 """Tells other VMs what was observed and what is in flight, and takes theirs."""
 
+from collections import Counter
+
 from burdockhitch import commands
 from burdockhitch.clock import Instant
-from burdockhitch.messages import Observation, Report, ServerLoad
+from burdockhitch.direct_messages import Observation, Report, ServerLoad
 from burdockhitch.systems.direct.belief import P_SUSPECT, SUCCESS, observe
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import message_handlers, timer_handlers
@@ -49,6 +51,23 @@
     )
 
 
+def told_loads(world: World) -> tuple[ServerLoad, ...]:
+    """Return this VM's requests in flight as it last reported them."""
+    return _as_loads(world.peer_loads.select("vm_id", world.local.vm_id))
+
+
+def near_loads(world: World) -> tuple[ServerLoad, ...]:
+    """Return the requests in flight of all VMs in this zone, by backend server."""
+    totals: Counter[str] = Counter()
+    for vm in world.vms.select("zone", world.local.zone):
+        if vm.vm_id != world.local.vm_id:
+            for row in world.peer_loads.select("vm_id", vm.vm_id):
+                totals[row.server_id] += row.n_in_flight
+    for server_id in world.attempts.values("server_id"):
+        totals[server_id] += world.attempts.count("server_id", server_id)
+    return tuple(ServerLoad(*item) for item in totals.items())
+
+
 def reachable_peers(world: World) -> list[VmRow]:
     """Return the other VMs that live, in no order."""
     return [
@@ -95,7 +114,7 @@
     return float(utilisation(world, service) ** n_slots) >= FULL_SHARE
 
 
-def _is_any_busy(world: World) -> bool:
+def is_any_busy(world: World) -> bool:
     """Return whether loads matter: below that, free slots are found blindly."""
     return any(_is_busy(world, row.service) for row in world.service_times)
 
@@ -106,7 +125,7 @@
     A slot that was taken is told at once, before others take it too; one that
     came free may wait for the next report.
     """
-    told = _as_loads(world.peer_loads.select("vm_id", world.local.vm_id))
+    told = told_loads(world)
     if told == loads:
         return False
     told_by_server = dict(told)
@@ -129,7 +148,7 @@
 
     In calm times no load is told, and the last one told is taken back.
     """
-    loads = own_loads(world) if _is_any_busy(world) else ()
+    loads = own_loads(world) if is_any_busy(world) else ()
     if not len(world.observations) and not _is_load_due(world, loads, now):
         return
     rows = list(world.observations)[:OBSERVATIONS_MAX]
--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -6,7 +6,7 @@
 
 from burdockhitch.clock import Instant
 from burdockhitch.registry import Registry
-from burdockhitch.systems.direct.belief import P_SUSPECT, p_failing
+from burdockhitch.systems.direct.belief import P_SUSPECT, p_failing, slowness
 from burdockhitch.systems.direct.budget import has_retry
 from burdockhitch.systems.direct.reports import utilisation
 from burdockhitch.tables.backend_servers import BackendServerRow
@@ -86,7 +86,7 @@
     busy_share: float,
     now: Instant,
 ) -> Candidate:
-    run_s = mean_time_s(world, server.service) * max(0.5, belief.slowness)
+    run_s = mean_time_s(world, server.service) * max(0.5, slowness(belief, now))
     if belief.warm_until_s > now.monotonic_s:
         run_s *= WARM_UP_FACTOR
     n_ahead = count_in_flight(world, server.server_id) + 1 - server.n_slots
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -2,7 +2,7 @@
 
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
-from burdockhitch.messages import Snapshot
+from burdockhitch.direct_messages import Snapshot
 from burdockhitch.systems.direct.configuration import adopt_configuration, view_of
 from burdockhitch.systems.direct.membership import announce, is_newer, learn_vm
 from burdockhitch.systems.direct.servers import adopt_servers
--- a/burdockhitch/systems/timing.py
+++ b/burdockhitch/systems/timing.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from burdockhitch import events
+from burdockhitch import direct_messages, events
 from burdockhitch.clock import Instant
 from burdockhitch.errors import MessageError, error_name
 from burdockhitch.messages import vm_messages
@@ -21,6 +21,8 @@
 message_handlers: Registry[MessageHandler] = Registry("message handler")
 reply_handlers: Registry[ReplyHandler] = Registry("platform reply handler")
 
+# Importing this module fills the registry of messages too.
+REGISTERED_MODULES = (direct_messages,)
 KIND_BY_MESSAGE_TYPE = {vm_messages[kind]: kind for kind in vm_messages}
 
 
--- a/burdockhitch/tables/beliefs.py
+++ b/burdockhitch/tables/beliefs.py
@@ -16,7 +16,9 @@
         avoided_until_s: Monotonic time until which this VM alone keeps away,
             since it can't reach the server itself.
         n_unreachable: Attempts in a row that could not reach the server.
-        slowness: Running ratio of its answers' time to that of the service.
+        slowness: Running ratio of its answers' time to that of the service, at
+            ``slowness_at_s``; it drifts back to 1 from there.
+        slowness_at_s: Monotonic time of the last change of ``slowness``.
         warm_until_s: Monotonic time until which it is slow after its start.
     """
 
@@ -27,6 +29,7 @@
     avoided_until_s: float = 0.0
     n_unreachable: int = 0
     slowness: float = 1.0
+    slowness_at_s: float = 0.0
     warm_until_s: float = 0.0
 
 
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -40,6 +40,7 @@
     REGISTRY_READ = "registry_read"
     DEPARTURE = "departure"
     COLLECT = "collect"
+    ZONE_LOADS = "zone_loads"
 
 
 class TimerRow(NamedTuple):
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -18,9 +18,8 @@
     VmSettings,
 )
 from burdockhitch.systems import direct  # noqa: F401
-from burdockhitch.systems.direct.membership import start_membership
-from burdockhitch.systems.direct.reading import start_reading
 from burdockhitch.systems.direct.snapshots import make_snapshot
+from burdockhitch.systems.direct.starting import start_vm
 from burdockhitch.systems.phases import run_tick
 from burdockhitch.tables.backend_servers import BackendServerRow
 from burdockhitch.tables.prefix_routes import PrefixRouteRow, RouteTarget
@@ -204,8 +203,7 @@
             world = world._replace(local=world.local._replace(incarnation=incarnation))
         self.worlds[vm_id] = world
         now = self.clock.now()
-        start_membership(world, now)
-        start_reading(world, now)
+        start_vm(world, now)
         self.tick(vm_id)
         return world
 
--- a/burdockhitch/tests/test_datagrams.py
+++ b/burdockhitch/tests/test_datagrams.py
@@ -5,7 +5,7 @@
 
 from burdockhitch import commands
 from burdockhitch.adapters.datagrams import Datagrams
-from burdockhitch.messages import Report
+from burdockhitch.direct_messages import Report
 from burdockhitch.tests.fakes import FakeFleet
 
 WAIT_S = 5.0
--- a/burdockhitch/tests/test_direct_belief.py
+++ b/burdockhitch/tests/test_direct_belief.py
@@ -65,4 +65,4 @@
 def test_an_unknown_server_is_no_fault(world):
     assert belief.observe(world, "none", FAILURE, world.clock.now()) is None
     belief.note_unreachable(world, "none", world.clock.now())
-    belief.note_reached(world, "none", 1.0)
+    belief.note_reached(world, "none", 1.0, world.clock.now())
--- a/burdockhitch/tests/test_direct_requests.py
+++ b/burdockhitch/tests/test_direct_requests.py
@@ -3,7 +3,7 @@
 import pytest
 
 from burdockhitch import events
-from burdockhitch.messages import ServerLoad
+from burdockhitch.direct_messages import ServerLoad
 from burdockhitch.systems.direct.belief import FAILURE, OVERDUE, SUCCESS, observe
 from burdockhitch.systems.direct.reports import report_observation, take_loads
 from burdockhitch.tables.prefix_routes import RouteTarget
--- a/burdockhitch/tests/test_direct_selection.py
+++ b/burdockhitch/tests/test_direct_selection.py
@@ -1,7 +1,10 @@
+from collections import Counter
+
 import pytest
 
-from burdockhitch.messages import ServerLoad
-from burdockhitch.systems.direct.belief import FAILURE, observe
+from burdockhitch import events
+from burdockhitch.direct_messages import Observation, Report, ServerLoad
+from burdockhitch.systems.direct.belief import FAILURE, OVERDUE, SUCCESS, observe
 from burdockhitch.systems.direct.budget import has_retry, spend_retry
 from burdockhitch.systems.direct.reports import take_loads, utilisation
 from burdockhitch.systems.direct.selection import mean_time_s
@@ -69,3 +72,33 @@
         fleet.send("vm-0")
     first = [arrival.server_id for arrival in fleet.arrivals]
     assert ("1" in first) == has_budget
+
+
+def count_sends(fleet, n_requests):
+    """Send requests one after the other and count them by server."""
+    fleet.arrivals.clear()
+    send_in_turn(fleet, n_requests)
+    return Counter(arrival.server_id for arrival in fleet.arrivals)
+
+
+@pytest.mark.parametrize(
+    ("n_overdue", "waited_s", "is_avoided"),
+    [(0, 0.0, False), (1, 0.0, True), (3, 0.0, True), (3, 30.0, False)],
+    ids=["sound", "one slow answer", "several", "long ago"],
+)
+def test_a_server_that_peers_find_slow_gets_little_work(
+    n_overdue, waited_s, is_avoided
+):
+    fleet = start_fleet(n_vms=2, n_servers=4)
+    fleet.configure(2, make_route(objective_s=2 * SERVICE_TIME_S, **ONCE))
+    send_in_turn(fleet, 40)
+    report = Report((Observation("1", OVERDUE),) * n_overdue, None)
+    fleet.post("vm-0", events.VmMessageArrived("vm-1", report))
+    fleet.run(waited_s)
+    world = fleet.worlds["vm-0"]
+    now = world.clock.now()
+    # The slowness alone: as if an answer had shown that it doesn't fail.
+    for _ in range(5):
+        observe(world, "1", SUCCESS, now)
+    sends = count_sends(fleet, 12)
+    assert (sends["1"] == 0) == is_avoided
--- /dev/null
+++ b/burdockhitch/tests/test_direct_zone_loads.py
@@ -0,0 +1,94 @@
+import pytest
+
+from burdockhitch.systems.direct.reading import better_ranked
+from burdockhitch.systems.direct.reports import told_loads
+from burdockhitch.tests.direct_fakes import make_route, start_fleet
+
+ZONES = ("a", "b")
+
+
+def start_busy_fleet():
+    """Return a fleet whose zone ``a`` has all slots of the servers taken."""
+    fleet = start_fleet(n_vms=6, n_servers=2, zones=ZONES)
+    fleet.configure(2, make_route(is_idempotent=False))
+    fleet.run(1.0)
+    for number in range(6):
+        fleet.send(f"vm-{number}")
+    fleet.run(1.0)
+    fleet.modes = dict.fromkeys(fleet.modes, "mute")
+    for _ in range(12):
+        for number in (0, 2, 4):
+            fleet.send(f"vm-{number}", remaining_s=4.0)
+    return fleet
+
+
+def known_loads(fleet, vm_id):
+    world = fleet.worlds[vm_id]
+    return {
+        server.server_id: sum(
+            row.n_in_flight
+            for row in world.peer_loads.select("vm_id", "zone a")
+            if row.server_id == server.server_id
+        )
+        for server in world.backend_servers
+    }
+
+
+def in_flight(fleet):
+    return {
+        server_id: sum(
+            world.attempts.count("server_id", server_id)
+            for world in fleet.worlds.values()
+        )
+        for server_id in ("1", "2")
+    }
+
+
+@pytest.mark.parametrize("is_first_killed", [False, True])
+def test_each_vm_of_another_zone_knows_the_sum(is_first_killed):
+    fleet = start_busy_fleet()
+    if is_first_killed:
+        first = next(
+            vm_id
+            for vm_id, world in fleet.worlds.items()
+            if world.local.zone == "b" and not better_ranked(world)
+        )
+        fleet.kill_vm(first)
+        fleet.run(5.0)
+        for _ in range(12):
+            for number in (0, 2, 4):
+                fleet.send(f"vm-{number}", remaining_s=4.0)
+    fleet.run(0.6)
+    others = [name for name, world in fleet.worlds.items() if world.local.zone == "b"]
+    assert sum(in_flight(fleet).values()) > 8
+    for vm_id in others:
+        assert known_loads(fleet, vm_id) == in_flight(fleet)
+        total = sum(row.n_in_flight for row in fleet.worlds[vm_id].server_loads)
+        assert total >= sum(in_flight(fleet).values())
+
+
+@pytest.mark.parametrize("is_cut", [False, True], ids=["calm again", "cut off"])
+def test_an_old_sum_is_dropped(is_cut):
+    fleet = start_busy_fleet()
+    fleet.run(0.6)
+    if is_cut:
+        for number in (0, 2, 4):
+            fleet.kill_vm(f"vm-{number}")
+        fleet.run(1.2)
+    else:
+        fleet.run(6.0)
+    assert set(known_loads(fleet, "vm-1").values()) == {0}
+
+
+@pytest.mark.parametrize("waited_s", [0.1, 1.0, 1.7])
+def test_heartbeats_leave_reported_loads_as_they_are(waited_s):
+    fleet = start_busy_fleet()
+    fleet.run(waited_s)
+    own = {
+        load.server_id: load.n_in_flight for load in told_loads(fleet.worlds["vm-0"])
+    }
+    heard = {
+        row.server_id: row.n_in_flight
+        for row in fleet.worlds["vm-2"].peer_loads.select("vm_id", "vm-0")
+    }
+    assert own and heard == own
