--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -65,10 +65,12 @@
     Attributes:
         observations: Observations since the last report.
         loads: Its requests in flight, None when they are left out.
+        answered: Backend servers that answered it well just now.
     """
 
     observations: tuple[Observation, ...]
     loads: tuple[ServerLoad, ...] | None
+    answered: tuple[str, ...] = ()
 
 
 @vm_messages("zone_loads")
@@ -78,7 +80,9 @@
     Attributes:
         zone: Availability zone of the VMs that sent the requests.
         loads: Their requests in flight, summed.
+        answered: Backend servers that answered one of them well since the last sum.
     """
 
     zone: str
     loads: tuple[ServerLoad, ...]
+    answered: tuple[str, ...] = ()
--- a/burdockhitch/systems/direct/__init__.py
+++ b/burdockhitch/systems/direct/__init__.py
@@ -2,6 +2,7 @@
 
 from burdockhitch.systems.direct import (
     addresses,
+    answered,
     answers,
     belief,
     budget,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "addresses",
+    "answered",
     "answers",
     "belief",
     "budget",
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -5,6 +5,11 @@
 from burdockhitch import commands
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import Observation, Report, ServerLoad
+from burdockhitch.systems.direct.answered import (
+    hear_answered,
+    note_answered,
+    take_untold_near,
+)
 from burdockhitch.systems.direct.belief import P_SUSPECT, SUCCESS, observe
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import message_handlers, timer_handlers
@@ -35,6 +40,8 @@
     the others try it again by themselves.
     """
     before = observe(world, server_id, kind, now)
+    if kind == SUCCESS:
+        note_answered(world, server_id, now)
     if before is None or (kind == SUCCESS and before < P_SUSPECT):
         return
     sequence = next_sequence(world, "observation")
@@ -159,7 +166,8 @@
     peers = reachable_peers(world)
     zone = world.local.zone
     near = [vm.message_address for vm in peers if vm.zone == zone]
-    _send_report(world, near, Report(observations, loads))
+    answered = take_untold_near(world, now)
+    _send_report(world, near, Report(observations, loads, answered))
     for_all = tuple(
         Observation(row.server_id, row.kind) for row in rows if row.is_for_all
     )
@@ -209,5 +217,6 @@
     world.vms.replace(sender._replace(changed_at_s=now.monotonic_s))
     for observation in report.observations:
         observe(world, observation.server_id, observation.kind, now)
+    hear_answered(world, report.answered, now, is_far=False)
     if report.loads is not None:
         take_loads(world, sender_vm_id, report.loads)
--- a/burdockhitch/systems/direct/zone_loads.py
+++ b/burdockhitch/systems/direct/zone_loads.py
@@ -7,7 +7,8 @@
 
 from burdockhitch import commands
 from burdockhitch.clock import Instant
-from burdockhitch.direct_messages import ServerLoad, ZoneLoads
+from burdockhitch.direct_messages import ZoneLoads
+from burdockhitch.systems.direct.answered import hear_answered, take_untold_far
 from burdockhitch.systems.direct.reading import better_ranked, rank_in_zone
 from burdockhitch.systems.direct.reports import (
     is_any_busy,
@@ -41,12 +42,13 @@
     return [vm.message_address for vm in alive[:RECEIVERS_PER_ZONE]]
 
 
-def _send_sum(world: World, loads: tuple[ServerLoad, ...]) -> None:
+def _send_sum(world: World, now: Instant) -> None:
     own_zone = world.local.zone
     zones = [zone for zone in world.vms.values("zone") if zone != own_zone]
     addresses = [name for zone in zones for name in _receivers_of(world, zone)]
     if addresses:
-        message = ZoneLoads(own_zone, loads)
+        answered = take_untold_far(world, now)
+        message = ZoneLoads(own_zone, near_loads(world), answered)
         send(world, commands.BroadcastMessage(tuple(addresses), message))
 
 
@@ -58,7 +60,7 @@
         return
     start_summing(world, now)
     if is_any_busy(world) and not better_ranked(world):
-        _send_sum(world, near_loads(world))
+        _send_sum(world, now)
 
 
 def _sum_key(zone: str) -> str:
@@ -70,6 +72,7 @@
 def take_sum(world: World, sender_vm_id: str, message: ZoneLoads, now: Instant) -> None:
     """Keep another zone's sum; the first VM of this zone passes it on."""
     take_loads(world, _sum_key(message.zone), message.loads)
+    hear_answered(world, message.answered, now, is_far=True)
     due_s = now.monotonic_s + EXPIRY_S
     start_timer(world, TimerKind.ZONE_LOADS, message.zone, due_s)
     sender = world.vms.get(sender_vm_id)
--- a/burdockhitch/tables/beliefs.py
+++ b/burdockhitch/tables/beliefs.py
@@ -93,6 +93,22 @@
     is_for_all: bool
 
 
+class AnsweredRow(NamedTuple):
+    """A backend server that answered well not long ago.
+
+    Attributes:
+        server_id: Backend server.
+        answered_at_s: Monotonic time of the answer, or of hearing of it.
+        is_told_near: Whether this zone's VMs know.
+        is_told_far: Whether it was in a sum for the other zones.
+    """
+
+    server_id: str
+    answered_at_s: float
+    is_told_near: bool = False
+    is_told_far: bool = False
+
+
 def make_beliefs() -> Table[BeliefRow]:
     """Return an empty table of beliefs."""
     return Table(BeliefRow, key="server_id", indexes=("service",))
@@ -116,3 +132,8 @@
 def make_observations() -> Table[ObservationRow]:
     """Return an empty table of observations to report."""
     return Table(ObservationRow, key="sequence")
+
+
+def make_answered() -> Table[AnsweredRow]:
+    """Return an empty table of good answers."""
+    return Table(AnsweredRow, key="server_id")
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -79,6 +79,7 @@
     server_loads: Table[beliefs.ServerLoadRow]
     service_times: Table[beliefs.ServiceTimeRow]
     observations: Table[beliefs.ObservationRow]
+    answered: Table[beliefs.AnsweredRow]
     registry_views: Table[registry_views.ViewRow]
     departures: Table[registry_views.DepartureRow]
     configurations: Table[registry_views.ConfigurationDocument]
@@ -152,6 +153,7 @@
         server_loads=beliefs.make_server_loads(),
         service_times=beliefs.make_service_times(),
         observations=beliefs.make_observations(),
+        answered=beliefs.make_answered(),
         registry_views=registry_views.make_registry_views(),
         departures=registry_views.make_departures(),
         configurations=registry_views.make_configurations(),
