--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -5,6 +5,7 @@
 from burdockhitch.errors import NoBackendServerError, OverloadedError
 from burdockhitch.systems.direct.belief import OVERDUE_MEANS, p_failing
 from burdockhitch.systems.direct.configuration import view_of
+from burdockhitch.systems.direct.overload import is_not_worth_waiting
 from burdockhitch.systems.direct.reports import note_in_flight
 from burdockhitch.systems.direct.selection import (
     Candidate,
@@ -98,12 +99,22 @@
     ]
     if not hopeful:
         least_s = min(candidate.wait_s for candidate in candidates)
-        detail = f"{row.service} would answer after {least_s:.3f} s of waiting"
-        refusal = make_refusal(OverloadedError, detail, RETRY_AFTER_S)
-        refuse_request(world, row, refusal, now)
+        _refuse_overloaded(world, row, least_s, now)
         return
     policy = selection_policies[world.settings.policies.selection]
-    _send(world, row, policy(world, row, hopeful, now), now)
+    choice = policy(world, row, hopeful, now)
+    if is_not_worth_waiting(row, choice):
+        _refuse_overloaded(world, row, choice.wait_s, now)
+        return
+    _send(world, row, choice, now)
+
+
+def _refuse_overloaded(
+    world: World, row: RequestRow, wait_s: float, now: Instant
+) -> None:
+    detail = f"{row.service} would answer after {wait_s:.3f} s of waiting"
+    refusal = make_refusal(OverloadedError, detail, RETRY_AFTER_S)
+    refuse_request(world, row, refusal, now)
 
 
 def _order(row: RequestRow) -> tuple[int, float]:
--- a/burdockhitch/tests/test_direct_requests.py
+++ b/burdockhitch/tests/test_direct_requests.py
@@ -278,3 +278,41 @@
     near = fleet.worlds["vm-2"].beliefs.fetch("1")
     assert (far != before) == is_told_far
     assert near.updated_at_s != before.updated_at_s
+
+
+# The service takes 0.1 s and the objective is 0.8 s; a server has four slots.
+@pytest.mark.parametrize(
+    ("priority", "n_in_flight", "is_sent"),
+    [
+        (2, 0, True),
+        (2, 3, True),
+        (2, 24, True),
+        (2, 40, False),
+        (1, 30, True),
+        (1, 40, False),
+        (0, 40, True),
+        (0, 60, False),
+        (7, 40, False),
+    ],
+)
+def test_what_would_be_late_is_refused_the_least_urgent_first(
+    priority, n_in_flight, is_sent
+):
+    fleet = start_fleet(n_vms=2, n_servers=1)
+    fleet.configure(2, make_route(priority=priority, timeout_s=5.0))
+    fleet.run(1.0)
+    fleet.send("vm-0")
+    fleet.run(1.0)
+    take_loads(fleet.worlds["vm-0"], "vm-1", (ServerLoad("1", n_in_flight),))
+    connection = fleet.send("vm-0")
+    fleet.run(0.01)
+    assert fleet.status(connection) == ("open" if is_sent else "Overloaded")
+
+
+def test_a_slow_service_with_free_slots_is_not_overloaded():
+    fleet = start_fleet(n_vms=1, n_servers=1)
+    fleet.server_waits["1"] = 1.0
+    for _ in range(10):
+        fleet.send("vm-0")
+        fleet.run(2.0)
+    assert {fleet.status(number) for number in fleet.replies} == {"200"}
