--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -1,7 +1,5 @@
 """The daemon of an entry VM: one loop on one thread."""
 
-import gc
-import random
 import signal
 from typing import Any
 
@@ -14,9 +12,9 @@
 from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
 from burdockhitch.adapters.loop import Ticker
 from burdockhitch.adapters.process import Process, senders
-from burdockhitch.adapters.signals import handle_signals
+from burdockhitch.adapters.running import open_world, run_loop
+from burdockhitch.adapters.signals import SignalHandlers
 from burdockhitch.adapters.state import write_dump
-from burdockhitch.clock import SystemClock
 from burdockhitch.settings import Settings
 from burdockhitch.systems.configuration import start_configuration
 from burdockhitch.systems.ejection import floor_guards
@@ -24,7 +22,7 @@
 from burdockhitch.systems.membership import start_membership
 from burdockhitch.systems.routing import routing_policies
 from burdockhitch.systems.windows import start_windows, window_policies
-from burdockhitch.world import World, make_world
+from burdockhitch.world import World
 
 # Importing these modules fills the registries of senders and systems.
 REGISTERED_MODULES = (callers, links, platform, servers, systems)
@@ -78,20 +76,6 @@
     return treq.client.HTTPClient(servers.make_agent(reactor, timeout_s))
 
 
-def _handle_signals(process: Process) -> None:
-    def stop() -> None:
-        process.ticker.post(events.StopRequested())
-
-    handle_signals(
-        process.reactor,
-        {
-            signal.SIGTERM: stop,
-            signal.SIGINT: stop,
-            signal.SIGUSR1: lambda: write_dump(process.world),
-        },
-    )
-
-
 def check_policies(settings: Settings) -> None:
     """Check that the settings name registered alternatives.
 
@@ -115,9 +99,7 @@
 
     loop: Any = reactor
     check_policies(settings)
-    clock = SystemClock()
-    log.configure_log(settings.log.level, settings.vm.vm_id, clock)
-    world = make_world(settings, clock, random.Random())
+    world = open_world(settings)
     process = make_process(world, loop)
     now = world.clock.now()
     start_membership(world, now)
@@ -127,9 +109,13 @@
     listen(loop, settings.vm.caller_address, callers.make_site(process), process.ports)
     admin_site = Site(AdminFront(world).app.resource())
     listen(loop, settings.vm.admin_address, admin_site, process.ports)
-    process.ticker.request_tick()
-    loop.callWhenRunning(_handle_signals, process)
-    # Modules stay until the end; the collector need not look at them again.
-    gc.freeze()
-    log.write_event("INFO", "started", {"incarnation": world.local.incarnation})
-    loop.run(installSignalHandlers=False)
+
+    def stop() -> None:
+        process.ticker.post(events.StopRequested())
+
+    handlers: SignalHandlers = {
+        signal.SIGTERM: stop,
+        signal.SIGINT: stop,
+        signal.SIGUSR1: lambda: write_dump(world),
+    }
+    run_loop(world, loop, process.ticker, handlers)
--- a/burdockhitch/adapters/signals.py
+++ b/burdockhitch/adapters/signals.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+SignalHandlers = Mapping[int, Callable[[], None]]
 
-def handle_signals(reactor: Any, handlers: Mapping[int, Callable[[], None]]) -> None:
+
+def handle_signals(reactor: Any, handlers: SignalHandlers) -> None:
     """Call a function within the loop for each signal.
 
     A signal handler runs on the loop's own thread, between two instructions;
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -1,7 +1,5 @@
 """The daemon of an entry VM on the platform."""
 
-import gc
-import random
 import signal
 from itertools import count
 from pathlib import Path
@@ -14,9 +12,9 @@
 from burdockhitch.adapters.datagrams import Datagrams
 from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
 from burdockhitch.adapters.loop import Ticker
-from burdockhitch.adapters.signals import handle_signals
+from burdockhitch.adapters.running import open_world, run_loop
+from burdockhitch.adapters.signals import SignalHandlers
 from burdockhitch.adapters.state import write_dump
-from burdockhitch.clock import SystemClock
 from burdockhitch.errors import SettingsError
 from burdockhitch.platform import backends, callers, peers, store
 from burdockhitch.platform.process import PlatformProcess, senders
@@ -24,7 +22,7 @@
 from burdockhitch.settings import Settings
 from burdockhitch.systems import direct
 from burdockhitch.systems.direct.starting import start_vm
-from burdockhitch.world import World, make_world
+from burdockhitch.world import World
 
 # Importing these modules fills the registries of senders and systems.
 REGISTERED_MODULES = (backends, callers, direct, peers, store)
@@ -104,21 +102,6 @@
     listen(reactor, settings.vm.caller_address, front, ports)
 
 
-def _handle_signals(process: PlatformProcess, path: Path) -> None:
-    def stop() -> None:
-        process.ticker.post(events.StopRequested())
-
-    handle_signals(
-        process.reactor,
-        {
-            signal.SIGTERM: stop,
-            signal.SIGINT: stop,
-            signal.SIGUSR1: lambda: write_dump(process.world),
-            signal.SIGHUP: lambda: report_settings(process.world.settings, path),
-        },
-    )
-
-
 def report_settings(settings: Settings, path: Path) -> None:
     """Check changed settings and log which sections a restart puts in force.
 
@@ -151,17 +134,18 @@
     settings = read_platform_settings(path)
     from twisted.internet import reactor
 
-    loop: Any = reactor
-    clock = SystemClock()
-    log.configure_log(settings.log.level, settings.vm.vm_id, clock)
-    world = make_world(settings, clock, random.Random())
-    process = make_process(world, loop)
-    now = world.clock.now()
-    start_vm(world, now)
+    world = open_world(settings)
+    process = make_process(world, reactor)
+    start_vm(world, world.clock.now())
     _listen(process)
-    process.ticker.request_tick()
-    loop.callWhenRunning(_handle_signals, process, path)
-    # Modules stay until the end; the collector need not look at them again.
-    gc.freeze()
-    log.write_event("INFO", "started", {"incarnation": world.local.incarnation})
-    loop.run(installSignalHandlers=False)
+
+    def stop() -> None:
+        process.ticker.post(events.StopRequested())
+
+    handlers: SignalHandlers = {
+        signal.SIGTERM: stop,
+        signal.SIGINT: stop,
+        signal.SIGUSR1: lambda: write_dump(world),
+        signal.SIGHUP: lambda: report_settings(settings, path),
+    }
+    run_loop(world, reactor, process.ticker, handlers)
--- a/burdockhitch/systems/answers.py
+++ b/burdockhitch/systems/answers.py
@@ -5,7 +5,6 @@
 from burdockhitch.errors import (
     AnswerLostError,
     DeadlineTooShortError,
-    NoBackendServerError,
 )
 from burdockhitch.events import NOT_RUN_FAILURES, AttemptFailure
 from burdockhitch.messages import Answer, Refusal
@@ -13,6 +12,7 @@
 from burdockhitch.systems.endings import (
     advance,
     answer_request,
+    fail_request,
     lose_request,
     make_refusal,
     refuse_request,
@@ -131,13 +131,8 @@
     not_run = failure in NOT_RUN_FAILURES
     if (not_run or row.is_idempotent) and _can_retry(world, row, now):
         _retry(world, row, not_run, now)
-    elif not_run:
-        detail = f"the backend server did not take the request: {failure.value}"
-        refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
-        refuse_request(world, row, refusal, now)
     else:
-        detail = f"the backend server did not answer whole: {failure.value}"
-        lose_request(world, row, make_refusal(AnswerLostError, detail), now)
+        fail_request(world, row, failure, RETRY_AFTER_S, now)
 
 
 def _refuse_late(row: RequestRow) -> Refusal:
--- a/burdockhitch/systems/direct/answers.py
+++ b/burdockhitch/systems/direct/answers.py
@@ -5,7 +5,6 @@
 from burdockhitch.errors import (
     AnswerLostError,
     DeadlineTooShortError,
-    NoBackendServerError,
 )
 from burdockhitch.events import NOT_RUN_FAILURES, AttemptFailure
 from burdockhitch.messages import Answer
@@ -13,17 +12,18 @@
 from burdockhitch.systems.direct.budget import has_retry, spend_retry
 from burdockhitch.systems.direct.membership import is_leaving
 from burdockhitch.systems.direct.reports import report_observation
+from burdockhitch.systems.direct.run_times import note_time
 from burdockhitch.systems.direct.selection import find_candidates, is_hopeless
 from burdockhitch.systems.endings import (
     advance,
     answer_request,
+    fail_request,
     lose_request,
     make_refusal,
     refuse_request,
 )
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import timer_handlers
-from burdockhitch.tables.beliefs import ServiceTimeRow
 from burdockhitch.tables.requests import AttemptRow, RequestRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import (
@@ -41,7 +41,6 @@
 MISDIRECTED_AVOID_S = 5.0
 # Attempts that never reached a server don't count against the route's limit.
 N_SENDS_MAX = 6
-MEAN_WEIGHT = 0.05
 
 
 def _take_attempt(world: World, attempt_id: int) -> AttemptRow | None:
@@ -63,27 +62,6 @@
     return row
 
 
-def _run_time_s(attempt: AttemptRow, mean_s: float, now: Instant) -> float:
-    """Return how long a request ran, without the wait that was expected for it.
-
-    An expected wait that did not come tells nothing about the time of a run.
-    """
-    latency_s = now.monotonic_s - attempt.started_at_s
-    return max(latency_s - attempt.wait_s, min(latency_s, mean_s))
-
-
-def _note_time(world: World, attempt: AttemptRow, now: Instant) -> None:
-    row = world.service_times.get(attempt.service)
-    if row is None:
-        latency_s = now.monotonic_s - attempt.started_at_s
-        row = ServiceTimeRow(attempt.service, latency_s, 0)
-    run_s = _run_time_s(attempt, row.mean_s, now)
-    weight = max(MEAN_WEIGHT, 1.0 / (row.n_answers + 1))
-    mean_s = row.mean_s + weight * (run_s - row.mean_s)
-    world.service_times.put(row._replace(mean_s=mean_s, n_answers=row.n_answers + 1))
-    belief.note_reached(world, attempt.server_id, run_s / max(0.001, mean_s), now)
-
-
 def _can_retry(world: World, row: RequestRow, now: Instant) -> bool:
     n_tries_max = max(1, row.n_tries_max)
     if row.n_tries >= n_tries_max or not has_retry(world, row.service, now):
@@ -117,7 +95,7 @@
         kind = belief.FAILURE if is_error else belief.SUCCESS
         report_observation(world, attempt.server_id, kind, now)
         if not is_error:
-            _note_time(world, attempt, now)
+            note_time(world, attempt, now)
         row = _take_request(world, attempt)
         if row is not None:
             _take_answer(world, row, event.answer, is_error, now)
@@ -200,13 +178,8 @@
         spend_retry(world, row.service, now)
         row = row._replace(may_have_run=row.may_have_run or not not_run)
         _retry(world, row, failure.value, now)
-    elif not_run:
-        detail = f"the backend server did not take the request: {failure.value}"
-        refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
-        refuse_request(world, row, refusal, now)
     else:
-        detail = f"the backend server did not answer whole: {failure.value}"
-        lose_request(world, row, make_refusal(AnswerLostError, detail), now)
+        fail_request(world, row, failure, RETRY_AFTER_S, now)
 
 
 @timer_handlers(TimerKind.OVERDUE)
--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -17,7 +17,12 @@
 from burdockhitch.systems.endings import advance, make_refusal, refuse_request
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.tables.registry_views import Subject
-from burdockhitch.tables.requests import AttemptRow, RequestRow, RequestState
+from burdockhitch.tables.requests import (
+    AttemptRow,
+    RequestRow,
+    RequestState,
+    urgency,
+)
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import (
     World,
@@ -117,13 +122,9 @@
     refuse_request(world, row, refusal, now)
 
 
-def _order(row: RequestRow) -> tuple[int, float]:
-    return row.priority, row.accepted_at_s
-
-
 @system(Phase.DISPATCH, DIRECT)
 def dispatch_requests(world: World, now: Instant) -> None:
     """Send or refuse what is queued, urgent classes first."""
     queued = world.requests.select("state", RequestState.QUEUED)
-    for row in sorted(queued, key=_order):
+    for row in sorted(queued, key=urgency):
         _dispatch(world, row, now)
--- /dev/null
+++ b/burdockhitch/systems/direct/run_times.py
@@ -0,0 +1,32 @@
+"""Follows how long services and their backend servers take to answer."""
+
+from burdockhitch.clock import Instant
+from burdockhitch.systems.direct.belief import note_reached
+from burdockhitch.tables.beliefs import ServiceTimeRow
+from burdockhitch.tables.requests import AttemptRow
+from burdockhitch.world import World
+
+# The mean follows the last twenty answers or so.
+MEAN_WEIGHT = 0.05
+
+
+def _run_time_s(attempt: AttemptRow, mean_s: float, now: Instant) -> float:
+    """Return how long a request ran, without the wait that was expected for it.
+
+    An expected wait that did not come tells nothing about the time of a run.
+    """
+    latency_s = now.monotonic_s - attempt.started_at_s
+    return max(latency_s - attempt.wait_s, min(latency_s, mean_s))
+
+
+def note_time(world: World, attempt: AttemptRow, now: Instant) -> None:
+    """Take a good answer into the mean time of its service and server."""
+    row = world.service_times.get(attempt.service)
+    if row is None:
+        latency_s = now.monotonic_s - attempt.started_at_s
+        row = ServiceTimeRow(attempt.service, latency_s, 0)
+    run_s = _run_time_s(attempt, row.mean_s, now)
+    weight = max(MEAN_WEIGHT, 1.0 / (row.n_answers + 1))
+    mean_s = row.mean_s + weight * (run_s - row.mean_s)
+    world.service_times.put(row._replace(mean_s=mean_s, n_answers=row.n_answers + 1))
+    note_reached(world, attempt.server_id, run_s / max(0.001, mean_s), now)
--- a/burdockhitch/systems/dispatch.py
+++ b/burdockhitch/systems/dispatch.py
@@ -10,7 +10,12 @@
 from burdockhitch.systems.phases import Phase, system
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.backend_servers import SlotRow
-from burdockhitch.tables.requests import AttemptRow, RequestRow, RequestState
+from burdockhitch.tables.requests import (
+    AttemptRow,
+    RequestRow,
+    RequestState,
+    urgency,
+)
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import World, count, next_sequence, send, stop_timer
 
@@ -61,15 +66,11 @@
     send(world, command)
 
 
-def _order(row: RequestRow) -> tuple[int, float]:
-    return row.priority, row.accepted_at_s
-
-
 @system(Phase.DISPATCH)
 def dispatch_requests(world: World, now: Instant) -> None:
     """Fill free slots, urgent classes first, oldest first within a class."""
     queued = world.requests.select("state", RequestState.QUEUED)
-    for row in sorted(queued, key=_order):
+    for row in sorted(queued, key=urgency):
         slot = _choose_server(world, row)
         if slot is not None and not refuse_hopeless(world, row, now):
             _dispatch(world, row, slot, now)
--- a/burdockhitch/systems/endings.py
+++ b/burdockhitch/systems/endings.py
@@ -5,7 +5,13 @@
 
 from burdockhitch import commands
 from burdockhitch.clock import Instant
-from burdockhitch.errors import AnswerLostError, RequestRefusedError, error_name
+from burdockhitch.errors import (
+    AnswerLostError,
+    NoBackendServerError,
+    RequestRefusedError,
+    error_name,
+)
+from burdockhitch.events import NOT_RUN_FAILURES, AttemptFailure
 from burdockhitch.lifecycles.request import REQUEST_LIFE_CYCLE
 from burdockhitch.messages import Answer, CancelRequest, ForwardAnswer, Refusal
 from burdockhitch.registry import Registry
@@ -100,6 +106,23 @@
     _end(world, row, "lose", now, refusal=refusal)
 
 
+def fail_request(
+    world: World,
+    row: RequestRow,
+    failure: AttemptFailure,
+    retry_after_s: float,
+    now: Instant,
+) -> None:
+    """End a request whose last attempt failed, by what the failure proves."""
+    if failure in NOT_RUN_FAILURES:
+        detail = f"the backend server did not take the request: {failure.value}"
+        refusal = make_refusal(NoBackendServerError, detail, retry_after_s)
+        refuse_request(world, row, refusal, now)
+    else:
+        detail = f"the backend server did not answer whole: {failure.value}"
+        lose_request(world, row, make_refusal(AnswerLostError, detail), now)
+
+
 def abandon_request(world: World, row: RequestRow, now: Instant) -> None:
     """End a request whose caller is gone."""
     _end(world, row, "abandon", now)
--- a/burdockhitch/tables/requests.py
+++ b/burdockhitch/tables/requests.py
@@ -83,6 +83,11 @@
     n_tries_max: int = 0
 
 
+def urgency(row: RequestRow) -> tuple[int, float]:
+    """Return the order of queued requests: urgent classes first, then oldest first."""
+    return row.priority, row.accepted_at_s
+
+
 class AttemptRow(NamedTuple):
     """One request on its way to a backend server and back.
 
