--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -51,11 +51,13 @@
         row: The sender's own row.
         loads: Its requests in flight as last reported, None when left out.
         is_answer_wanted: Whether the receiver should answer with its own.
+        answered: Backend servers that answered it well just now.
     """
 
     row: VmRow
     loads: tuple[ServerLoad, ...] | None
     is_answer_wanted: bool = False
+    answered: tuple[str, ...] = ()
 
 
 @vm_messages("report")
--- a/burdockhitch/systems/direct/answered.py
+++ b/burdockhitch/systems/direct/answered.py
@@ -1,7 +1,7 @@
 """Passes on which backend servers have just answered well.
 
 It is news only for a short time and never worth a message of its own, so it goes
-along with reports of loads, which are told when work is dense.
+along with heartbeats, and with reports of loads when work is dense.
 """
 
 from burdockhitch.clock import Instant
@@ -9,8 +9,8 @@
 from burdockhitch.tables.beliefs import AnsweredRow
 from burdockhitch.world import World
 
-# Longer than the pause between two reports, and short against a failing spell.
-FRESH_S = 0.3
+# The pause between two heartbeats, and short against a failing spell.
+FRESH_S = 1.0
 
 
 def note_answered(world: World, server_id: str, now: Instant) -> None:
--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -9,6 +9,7 @@
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import Heartbeat
+from burdockhitch.systems.direct.answered import hear_answered, take_untold_near
 from burdockhitch.systems.direct.configuration import view_of
 from burdockhitch.systems.direct.reports import (
     reachable_peers,
@@ -118,7 +119,8 @@
     own = refresh_own(world, now)
     peers = reachable_peers(world)
     near = [vm.message_address for vm in peers if vm.zone == own.zone]
-    _send_heartbeat(world, near, Heartbeat(own, told_loads(world)))
+    answered = take_untold_near(world, now)
+    _send_heartbeat(world, near, Heartbeat(own, told_loads(world), False, answered))
     if is_far:
         far = [vm.message_address for vm in peers if vm.zone != own.zone]
         _send_heartbeat(world, far, Heartbeat(own, None))
@@ -208,6 +210,7 @@
     keep_vm(world, message.row, now)
     if message.loads is not None:
         take_loads(world, sender_vm_id, message.loads)
+    hear_answered(world, message.answered, now, is_far=False)
     if message.is_answer_wanted or is_new:
         own = refresh_own(world, now)
         addresses = (message.row.message_address,)
--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -33,6 +33,12 @@
 WARM_UP_FACTOR = 2.0
 SERVICE_TIME_DEFAULT_S = 0.2
 EXPLORE_P = 0.5
+# At the least: a request that must run once risks a tenth of its worth more at a
+# server of which nothing was heard, and few are so while reports go round.
+EXPLORE_ONCE_P = 0.1
+# A server that answered well in the last second is as good as any other such;
+# preferring the best proven ones would leave the others without work.
+P_PROVEN = 0.06
 CONNECTIONS_SHARE = 0.8
 # Where the configuration does not name the service.
 CONNECTIONS_DEFAULT = 100
@@ -151,21 +157,34 @@
     return world.rng.choice(candidates)
 
 
-def _may_explore(world: World, row: RequestRow, now: Instant) -> bool:
+def _can_retry(world: World, row: RequestRow, now: Instant) -> bool:
     return (
         row.is_idempotent
-        and not row.tried
-        and row.n_tries_max > 1
+        and row.n_tries_max > len(row.tried) + 1
         and has_retry(world, row.service, now)
-        and world.rng.random() < EXPLORE_P
     )
 
 
-def _find_suspects(candidates: list[Candidate], now: Instant) -> list[Candidate]:
+def _find_unsure(
+    world: World, row: RequestRow, candidates: list[Candidate], now: Instant
+) -> list[Candidate]:
+    """Return the idle servers of which this request may find out more, if any.
+
+    A first try that can be repeated may go to a suspect: only work shows whether
+    it has recovered. Other requests find out now and then about servers of which
+    nothing was heard, so that no server stays without work.
+    """
+    if row.tried:
+        return []
+    can_retry = _can_retry(world, row, now)
+    if world.rng.random() >= (EXPLORE_P if can_retry else EXPLORE_ONCE_P):
+        return []
+    p_max = 1.0 if can_retry else P_SUSPECT
     return [
         candidate
         for candidate in candidates
-        if p_failing(candidate.belief, now) >= P_SUSPECT and candidate.wait_s <= 0
+        if candidate.wait_s <= 0
+        and P_PROVEN < p_failing(candidate.belief, now) <= p_max
     ]
 
 
@@ -173,27 +192,18 @@
 def choose_cheapest(
     world: World, row: RequestRow, candidates: list[Candidate], now: Instant
 ) -> Candidate:
-    """Take the server with the least expected cost.
-
-    The first try of some idempotent requests goes to a suspect server: only
-    work shows whether it has recovered.
-    """
-    if _may_explore(world, row, now):
-        suspects = _find_suspects(candidates, now)
-        if suspects:
-            return world.rng.choice(suspects)
-    can_retry = (
-        row.is_idempotent
-        and row.n_tries_max > len(row.tried) + 1
-        and has_retry(world, row.service, now)
-    )
+    """Take the server with the least expected cost, or one to learn about."""
+    unsure = _find_unsure(world, row, candidates, now)
+    if unsure:
+        return world.rng.choice(unsure)
+    can_retry = _can_retry(world, row, now)
     failure_cost = RETRIED_FAILURE_COST if can_retry else FAILURE_COST
     objective_s = row.objective_s or 1.0
 
     def cost(candidate: Candidate) -> float:
         is_far = candidate.server.zone != world.local.zone
         return (
-            p_failing(candidate.belief, now) * failure_cost
+            max(P_PROVEN, p_failing(candidate.belief, now)) * failure_cost
             + LATE_COST * _p_late(row, candidate, now)
             + WAIT_COST * candidate.wait_s / objective_s
             + OTHER_ZONE_COST * is_far
