--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -28,8 +28,9 @@
 # How long peers may take a slot for busy that came free.
 LOADS_PERIOD_S = 0.25
 LOADS = "loads"
-# Chance that all slots of a server are taken, from which VMs tell their loads.
-FULL_SHARE = 0.08
+# Chance that all slots of a server are taken, from which VMs tell their loads. It is
+# for even use; the proven servers of a busy zone are used several times as much.
+FULL_SHARE = 0.002
 IN_FLIGHT_WEIGHT = 0.05
 
 
