--- a/burdockhitch/systems/direct/overload.py
+++ b/burdockhitch/systems/direct/overload.py
@@ -11,8 +11,8 @@
 from burdockhitch.tables.requests import RequestRow
 
 # Expected time, as a share of the objective, beyond which a request is refused, by
-# priority. About half of the answers are late at 1; at half as much again nearly all.
-TIME_SHARES = (math.inf, 1.5, 1.0)
+# priority. About half of the answers are late at 1, and nearly all at 1.4.
+TIME_SHARES = (math.inf, 2.0, 1.4)
 # Below this share of the objective a wait is no overload: the service is slow.
 WAIT_SHARE = 0.25
 
--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -33,9 +33,11 @@
 WARM_UP_FACTOR = 2.0
 SERVICE_TIME_DEFAULT_S = 0.2
 EXPLORE_P = 0.5
-# At the least: a request that must run once risks a tenth of its worth more at a
-# server of which nothing was heard, and few are so while reports go round.
-EXPLORE_ONCE_P = 0.1
+# Of a request that must run once, times the share of servers without news: it risks
+# a tenth of its worth more there, and the floor allows three in ten without work.
+EXPLORE_ONCE_P = 0.4
+# A server that takes longer than this multiple of the usual time is known to be slow.
+SLOW_RATIO = 1.5
 # A server that answered well in the last second is as good as any other such;
 # preferring the best proven ones would leave the others without work.
 P_PROVEN = 0.06
@@ -177,15 +179,17 @@
     if row.tried:
         return []
     can_retry = _can_retry(world, row, now)
-    if world.rng.random() >= (EXPLORE_P if can_retry else EXPLORE_ONCE_P):
-        return []
     p_max = 1.0 if can_retry else P_SUSPECT
-    return [
+    unsure = [
         candidate
         for candidate in candidates
         if candidate.wait_s <= 0
         and P_PROVEN < p_failing(candidate.belief, now) <= p_max
+        and slowness(candidate.belief, now) <= SLOW_RATIO
     ]
+    share = len(unsure) / len(candidates)
+    explore_p = EXPLORE_P if can_retry else EXPLORE_ONCE_P * share
+    return unsure if world.rng.random() < explore_p else []
 
 
 @selection_policies("expected_cost")
