--- a/burdockhitch/tests/direct_steps.py
+++ b/burdockhitch/tests/direct_steps.py
@@ -10,11 +10,8 @@
 from burdockhitch.registry import Registry
 from burdockhitch.systems.direct.configuration import view_of
 from burdockhitch.tables.registry_views import Subject
-from burdockhitch.tests.direct_fakes import (
-    behaviours,
-    make_route,
-    start_fleet,
-)
+from burdockhitch.tests.direct_edges import behaviours
+from burdockhitch.tests.direct_fakes import make_route, start_fleet
 
 N_VMS = 5
 N_SERVERS = 6
--- a/burdockhitch/tests/test_direct_selection.py
+++ b/burdockhitch/tests/test_direct_selection.py
@@ -8,12 +8,8 @@
 from burdockhitch.systems.direct.budget import has_retry, spend_retry
 from burdockhitch.systems.direct.reports import take_loads, utilisation
 from burdockhitch.systems.direct.selection import mean_time_s
-from burdockhitch.tests.direct_fakes import (
-    SERVICE,
-    SERVICE_TIME_S,
-    make_route,
-    start_fleet,
-)
+from burdockhitch.tests.direct_edges import SERVICE_TIME_S
+from burdockhitch.tests.direct_fakes import SERVICE, make_route, start_fleet
 
 ONCE = {"is_idempotent": False}
 # Little enough time for a server to be taken for slow all the while.
