--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -276,6 +276,10 @@
         return f"{self.name}: {self.reason}"
 
 
+class ListenError(BurdockhitchError):
+    """An address of the settings can't be listened on."""
+
+
 class ExchangeFailedError(BurdockhitchError):
     """A call over HTTP ended without a whole answer."""
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -8,6 +8,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -24,6 +25,10 @@
 STOP_TIMEOUT_S = 15.0
 HTTP_TIMEOUT_S = 15.0
 CALLERS_TIMEOUT_S = 60.0
+# Linux gives outgoing connections ports from 32768 on.
+PORT_MIN = 20_000
+PORT_MAX = 32_000
+_rng = random.SystemRandom()
 
 
 class VmPlan(NamedTuple):
@@ -86,12 +91,19 @@
 
 
 def free_addresses(n_addresses: int) -> list[str]:
-    """Return loopback addresses with ports that the system chose."""
-    sockets = []
-    for _ in range(n_addresses):
+    """Return loopback addresses whose ports nobody listens on.
+
+    The system gives outgoing connections ports of the range above these. A port of
+    that range that is free now may be taken by a connection before it is used.
+    """
+    sockets: list[socket.socket] = []
+    while len(sockets) < n_addresses:
         opened = socket.socket()
-        opened.bind(("127.0.0.1", 0))
-        sockets.append(opened)
+        with contextlib.suppress(OSError):
+            opened.bind(("127.0.0.1", _rng.randrange(PORT_MIN, PORT_MAX)))
+            sockets.append(opened)
+            continue
+        opened.close()
     addresses = [f"127.0.0.1:{opened.getsockname()[1]}" for opened in sockets]
     for opened in sockets:
         opened.close()
