--- a/burdockhitch/tests/test_listening.py
+++ b/burdockhitch/tests/test_listening.py
@@ -18,6 +18,11 @@
         assert PORT_MIN <= int(address.rpartition(":")[2]) < PORT_MAX
 
 
+def test_no_port_is_returned_twice():
+    addresses = [address for _ in range(100) for address in free_addresses(4)]
+    assert len(set(addresses)) == len(addresses)
+
+
 @pytest.mark.parametrize("is_taken", [False, True])
 def test_a_taken_address_is_a_typed_failure(is_taken):
     taken = socket.socket()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -29,6 +29,7 @@
 PORT_MIN = 20_000
 PORT_MAX = 32_000
 _rng = random.SystemRandom()
+_untaken_ports = list(range(PORT_MIN, PORT_MAX))
 
 
 class VmPlan(NamedTuple):
@@ -93,14 +94,17 @@
 def free_addresses(n_addresses: int) -> list[str]:
     """Return loopback addresses whose ports nobody listens on.
 
-    The system gives outgoing connections ports of the range above these. A port of
-    that range that is free now may be taken by a connection before it is used.
+    No port is returned twice, since its first holder may not listen yet. The system
+    gives outgoing connections ports of the range above these; one that is free now
+    may be taken by a connection before it is used.
     """
     sockets: list[socket.socket] = []
     while len(sockets) < n_addresses:
+        port = _rng.choice(_untaken_ports)
+        _untaken_ports.remove(port)
         opened = socket.socket()
         with contextlib.suppress(OSError):
-            opened.bind(("127.0.0.1", _rng.randrange(PORT_MIN, PORT_MAX)))
+            opened.bind(("127.0.0.1", port))
             sockets.append(opened)
             continue
         opened.close()
