Log copies of the registry, new server lists and late timers

Callers of the grown deployments got 404 for existing routes. The logs could not tell slow copies between VMs from slow processors: a copy left a line only when it failed, without its duration, and a new server list none at all.

registry_copied and snapshot_failed now give source and duration, servers_applied the versions and the source, timer_late a timer that fired over 0.25 s late. The admin address counts served copies and their bytes. snapshot_failed had its source in the field vm, which replaced the name of the VM that wrote the line.

--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -18,7 +18,7 @@
 from burdockhitch.platform import names
 from burdockhitch.platform.process import PlatformProcess, command_handlers
 from burdockhitch.systems.direct.snapshots import make_snapshot
-from burdockhitch.world import World
+from burdockhitch.world import World, count
 
 SNAPSHOT_TIMEOUT_S = 1.0
 STATUS_OK = 200
@@ -52,7 +52,10 @@
             _query_version(request, b"configuration"),
             _query_version(request, b"servers"),
         )
-        return _encoder.encode(snapshot)
+        body = _encoder.encode(snapshot)
+        count(self._world, "snapshots_served")
+        count(self._world, "snapshot_bytes_sent", n_events=len(body))
+        return body
 
 
 def _admin_resource(world: World) -> Any:
--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -169,7 +169,13 @@
         if not event.is_complete and not event.rows and not event.removed:
             return False
         return apply_servers(
-            world, event.rows, event.removed, event.version, event.is_complete, now
+            world,
+            event.rows,
+            event.removed,
+            event.version,
+            event.is_complete,
+            "platform",
+            now,
         )
     for row in event.rows:
         add_listed_vm(world, row, now)
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -95,6 +95,7 @@
     removed: tuple[str, ...],
     version: int,
     is_complete: bool,
+    source: str,
     now: Instant,
 ) -> bool:
     """Apply a new version of the server list if it is newer than the one held.
@@ -105,7 +106,8 @@
     Returns:
         Whether it was newer.
     """
-    if version <= registry_view(world, RegistryPart.SERVERS).version:
+    held_version = registry_view(world, RegistryPart.SERVERS).version
+    if version <= held_version:
         return False
     for server in servers:
         _store_server(world, server, now)
@@ -116,4 +118,14 @@
     for server_id in removed:
         remove_server(world, server_id, now)
     record_version(world, RegistryPart.SERVERS, version)
+    log_event(
+        world,
+        "INFO",
+        "servers_applied",
+        version=version,
+        previous=held_version,
+        n_changed=len(servers),
+        n_removed=len(removed),
+        source=source,
+    )
     return True
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -117,20 +117,44 @@
         if operation is None:
             continue
         world.platform_operations.remove(event.operation_id)
-        source = operation.subject
+        elapsed_s = now.monotonic_s - operation.started_at_s
         if event.snapshot is None:
-            _handle_failure(world, source, event, now)
+            _handle_failure(world, operation.subject, event, elapsed_s, now)
         else:
-            _apply_snapshot(world, event.snapshot, source, now)
+            _log_copy(world, event.snapshot, operation.subject, elapsed_s)
+            _apply_snapshot(world, event.snapshot, operation.subject, now)
         _plan_copy(world, now)
 
 
+def _log_copy(world: World, snapshot: Snapshot, source: str, elapsed_s: float) -> None:
+    log_event(
+        world,
+        "INFO",
+        "registry_copied",
+        source=source,
+        elapsed_s=round(elapsed_s, 3),
+        n_servers=len(snapshot.servers or ()),
+        servers_version=snapshot.servers_version,
+        configuration_version=getattr(snapshot.configuration, "version", 0),
+    )
+
+
 def _handle_failure(
-    world: World, source: str, event: events.SnapshotRead, now: Instant
+    world: World,
+    source: str,
+    event: events.SnapshotRead,
+    elapsed_s: float,
+    now: Instant,
 ) -> None:
     """Log a failed copy, reset the source's versions and schedule a retry."""
-    error = event.error.__name__ if event.error else ""
-    log_event(world, "WARNING", "snapshot_failed", vm=source, error=error)
+    log_event(
+        world,
+        "WARNING",
+        "snapshot_failed",
+        source=source,
+        elapsed_s=round(elapsed_s, 3),
+        error=event.error.__name__ if event.error else "",
+    )
     vm = world.vms.get(source)
     if vm is not None:
         # It becomes a source again when it next reports its versions.
@@ -152,7 +176,7 @@
         is_changed = apply_configuration(world, snapshot.configuration, source, now)
     if snapshot.servers is not None:
         is_changed |= apply_servers(
-            world, snapshot.servers, (), snapshot.servers_version, True, now
+            world, snapshot.servers, (), snapshot.servers_version, True, source, now
         )
     for row in snapshot.vms:
         add_listed_vm(world, row, now)
--- a/burdockhitch/systems/timing.py
+++ b/burdockhitch/systems/timing.py
@@ -11,7 +11,7 @@
 from burdockhitch.systems.phases import SENDING_MODES, Phase, system
 from burdockhitch.tables.operations import PlatformOperationRow
 from burdockhitch.tables.timers import TimerKind
-from burdockhitch.world import World, count, pop_events, stop_timer
+from burdockhitch.world import World, count, log_event, pop_events, stop_timer
 
 TimerHandler = Callable[[World, str, Instant], None]
 MessageHandler = Callable[[World, str, Any, Instant], None]
@@ -23,6 +23,9 @@
 message_handlers: Registry[MessageHandler] = Registry("message handler")
 reply_handlers: Registry[ReplyHandler] = Registry("platform reply handler")
 
+# A timer that fires later than this shows that the process lacks processor time.
+TIMER_LATE_S = 0.25
+
 # Importing this module registers its message types in ``vm_messages``.
 REGISTERED_MODULES = (direct_messages,)
 KIND_BY_MESSAGE_TYPE = {vm_messages[kind]: kind for kind in vm_messages}
@@ -31,6 +34,7 @@
 @system(Phase.TIMING, *SENDING_MODES)
 def fire_timers(world: World, now: Instant) -> None:
     """Call the handlers of all due timers, earliest first."""
+    _log_lateness(world, now)
     while True:
         timer = world.timers.first("due_s")
         if timer is None or timer.due_s > now.monotonic_s:
@@ -40,6 +44,15 @@
         timer_handlers[kind](world, subject, now)
 
 
+def _log_lateness(world: World, now: Instant) -> None:
+    timer = world.timers.first("due_s")
+    if timer is None or now.monotonic_s - timer.due_s <= TIMER_LATE_S:
+        return
+    kind, _subject = timer.timer_id
+    late_s = round(now.monotonic_s - timer.due_s, 3)
+    log_event(world, "WARNING", "timer_late", timer=kind, late_s=late_s)
+
+
 @system(Phase.MESSAGES, *SENDING_MODES)
 def deliver_messages(world: World, now: Instant) -> None:
     """Call the handler of every message from another VM.
