Explore servers of sparse zones, so that recovered ones get requests

Cause: a request that can't be retried explores unproven servers with a probability of 0.4 times their share. Servers of other zones counted in the denominator, but could never be explored: without reported loads their expected wait is an estimate above zero, and only servers without a wait are explored. With 21 servers in five zones a VM explored the one or two unproven ones of its own zone with 2 to 4% of its requests. A server that has recovered stays suspect on all VMs until a request goes there, so it waited for seconds. Class of fault: a rate relative to one population, acting on another, which a test with one zone can't tell apart.

The change: shares are counted among the servers that can be explored. Servers of other zones are explored when nobody has observed them for 1 s, which also covers a zone without callers. A free slot is now judged by reported loads alone.

Ruled out: more exploration within the own zone only; it leaves out a zone whose callers moved away.

--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -42,12 +42,16 @@
 WARM_UP_FACTOR = 2.0
 # Run time assumed before the first answer of a service.
 SERVICE_TIME_DEFAULT_S = 0.2
-# Probability that the first try of a request that can be retried explores.
+# Probability that the first try of a request that can be retried explores servers of
+# this zone; servers of other zones by the share of them to explore.
 P_EXPLORE = 0.5
-# The same for requests that can't be retried, multiplied by the share of unproven
-# servers: it risks a tenth more of their value, and three in ten servers may go without
+# The same for requests that can't be retried, multiplied by the share of servers to
+# explore: it risks a tenth more of their value, and three in ten servers may go without
 # work.
 P_EXPLORE_ONCE = 0.4
+# Age of the last observation from which a server of another zone is explored. Before,
+# the VMs of its own zone explore it at less cost and report their successes.
+OTHER_ZONE_EXPLORE_AGE_S = 1.0
 # A server whose latency ratio is above this is slow and isn't explored.
 SLOW_RATIO = 1.5
 # Failure probability up to which a server is proven, e.g. by a success in the last
@@ -68,12 +72,14 @@
         estimate: Estimate of whether it is failing and how slow it is.
         wait_s: Expected wait for a slot.
         run_s: Expected time from getting a slot to the answer.
+        has_free_slot: Whether a slot is free as far as loads are reported to this VM.
     """
 
     server: BackendServerRow
     estimate: ServerEstimateRow
     wait_s: float
     run_s: float
+    has_free_slot: bool
 
 
 SelectionPolicy = Callable[[World, RequestRow, list[Candidate], Instant], Candidate]
@@ -118,7 +124,7 @@
     wait_s = max(0, n_ahead) * run_s / max(1, server.n_slots)
     if server.zone != world.local.zone:
         wait_s = max(wait_s, _unreported_wait_s(server.n_slots, busy_share, run_s))
-    return Candidate(server, estimate, wait_s, run_s)
+    return Candidate(server, estimate, wait_s, run_s, n_ahead <= 0)
 
 
 def _unreported_wait_s(n_slots: int, busy_share: float, run_s: float) -> float:
@@ -188,29 +194,51 @@
     )
 
 
+def _is_unproven(candidate: Candidate, p_max: float, now: Instant) -> bool:
+    """Return whether a server with a free slot lacks recent successes, yet isn't slow.
+
+    Args:
+        candidate: Server.
+        p_max: Highest probability that it is failing.
+        now: Time of the choice.
+    """
+    return (
+        candidate.has_free_slot
+        and P_FAILING_PROVEN < p_failing(candidate.estimate, now) <= p_max
+        and latency_ratio(candidate.estimate, now) <= SLOW_RATIO
+    )
+
+
 def _find_unproven(
     world: World, row: RequestRow, candidates: list[Candidate], now: Instant
 ) -> list[Candidate]:
-    """Return the unproven servers without a wait that this request may explore, if any.
+    """Return the unproven servers that this request may explore, if any.
 
     A first try that can be retried may go to a suspect server: only requests show
     whether it has recovered. Other first tries sometimes explore servers without
-    recent observations, so that no server stays without work.
+    recent observations, so that no server stays without work. Servers of this zone
+    come first; those of other zones only if nobody has observed them for a while.
     """
     if row.tried:
         return []
     can_retry = _can_retry(world, row, now)
     p_max = 1.0 if can_retry else P_FAILING_SUSPECT
+    p_explore = P_EXPLORE if can_retry else P_EXPLORE_ONCE
+    same_zone = [c for c in candidates if c.server.zone == world.local.zone]
+    unproven = [c for c in same_zone if _is_unproven(c, p_max, now)]
+    share = 1.0 if can_retry else len(unproven) / max(1, len(same_zone))
+    if unproven and world.rng.random() < p_explore * share:
+        return unproven
+    n_other_zones = len(candidates) - len(same_zone)
     unproven = [
-        candidate
-        for candidate in candidates
-        if candidate.wait_s <= 0
-        and P_FAILING_PROVEN < p_failing(candidate.estimate, now) <= p_max
-        and latency_ratio(candidate.estimate, now) <= SLOW_RATIO
+        c
+        for c in candidates
+        if c.server.zone != world.local.zone
+        and now.monotonic_s - c.estimate.updated_at_s > OTHER_ZONE_EXPLORE_AGE_S
+        and _is_unproven(c, p_max, now)
     ]
-    unproven_share = len(unproven) / len(candidates)
-    p_explore = P_EXPLORE if can_retry else P_EXPLORE_ONCE * unproven_share
-    return unproven if world.rng.random() < p_explore else []
+    share = len(unproven) / max(1, n_other_zones)
+    return unproven if world.rng.random() < p_explore * share else []
 
 
 @selection_policies("expected_cost")
--- a/burdockhitch/tests/test_direct_floor.py
+++ b/burdockhitch/tests/test_direct_floor.py
@@ -64,3 +64,65 @@
         }
         # The settings require that seven in ten healthy servers get requests.
         assert len(used_server_ids) >= 7
+
+
+# Fleets whose zones each have few of a service's servers, as (zones, servers, VMs).
+SPARSE_FLEETS = [(5, 20, 20), (3, 9, 12)]
+REQUESTS_PER_S = 100
+# The servers fail in turn, each for FAILING_S of FAILING_PERIOD_S.
+FAILING_S = 3.0
+FAILING_PERIOD_S = 10.0
+# A server counts as sound from this time after its last failure.
+SOUND_AFTER_S = 2.0
+RUN_S = 22.0
+
+
+def fail_in_turn(fleet, elapsed_s):
+    """Set which servers fail; return those that are sound throughout an interval."""
+    n_servers = len(fleet.behaviour_by_server)
+    sound_server_ids = set()
+    for number, server_id in enumerate(fleet.behaviour_by_server):
+        offset_s = number * FAILING_PERIOD_S / n_servers
+        since_failing_s = (elapsed_s + offset_s) % FAILING_PERIOD_S
+        is_failing = since_failing_s < FAILING_S
+        fleet.behaviour_by_server[server_id] = "error" if is_failing else "ok"
+        sound_until_s = FAILING_PERIOD_S - INTERVAL_S
+        if FAILING_S + SOUND_AFTER_S <= since_failing_s <= sound_until_s:
+            sound_server_ids.add(server_id)
+    return sound_server_ids
+
+
+def used_shares(fleet, sound_servers_by_s):
+    """Return the share of the sound servers that get requests, by interval."""
+    first_s, last_s = min(sound_servers_by_s), max(sound_servers_by_s)
+    shares = []
+    for start_s, sound_server_ids in sound_servers_by_s.items():
+        if not first_s + FAILING_PERIOD_S <= start_s <= last_s - INTERVAL_S:
+            continue
+        used_server_ids = {
+            attempt.server_id
+            for attempt in fleet.issued_attempts
+            if start_s <= attempt.at_s <= start_s + INTERVAL_S
+        }
+        shares.append(len(sound_server_ids & used_server_ids) / len(sound_server_ids))
+    return shares
+
+
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize(("n_zones", "n_servers", "n_vms"), SPARSE_FLEETS)
+def test_recovered_servers_get_requests_in_zones_with_few_servers(
+    n_zones, n_servers, n_vms, seed
+):
+    zones = tuple(f"zone-{number}" for number in range(n_zones))
+    fleet = start_fleet(n_vms=n_vms, n_servers=n_servers, zones=zones, seed=seed)
+    fleet.configure(2, make_route(is_idempotent=False))
+    fleet.run(1.0)
+    fleet.issued_attempts.clear()
+    start_s = fleet.clock.elapsed_s
+    sound_servers_by_s = {}
+    for _ in range(int(RUN_S * REQUESTS_PER_S)):
+        now_s = fleet.clock.elapsed_s
+        sound_servers_by_s[now_s] = fail_in_turn(fleet, now_s - start_s)
+        fleet.send(fleet.rng.choice(list(fleet.worlds)))
+        fleet.run(1.0 / REQUESTS_PER_S)
+    assert min(used_shares(fleet, sound_servers_by_s)) >= 0.7
