Take over from a reader that silently lost the platform within 1.4 s

Cause: a VM took over the reading only 3.2 s after the platform had last answered the first in rank, plus up to 0.5 s until its next check. Reports of the first also hid its silence for up to a heartbeat: they renewed the time to which its age of the platform's last answer refers, and not the age.

The test on reports fails without their change.

Why it works: the two watches of a reader end half a period apart, so a healthy one is answered, and announces it in the zone, about each second, at the same number of calls. The next in rank takes over 1.4 s after the last answer, the third 0.15 s later unless it hears that the second gets answers. The check is due at just that moment.

One heartbeat a second more in each zone.

--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -4,7 +4,9 @@
 no answers, the next in rank takes over, so few VMs query a platform that is down.
 """
 
+import functools
 import hashlib
+import math
 
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
@@ -30,9 +32,21 @@
 WATCHED_PARTS = (RegistryPart.CONFIGURATION, RegistryPart.SERVERS)
 # Longest time for which the platform holds a watch open while nothing changes.
 WATCH_TIMEOUT_S = 2.0
-# A watch is answered at least once per WATCH_TIMEOUT_S; the rest allows for a
-# heartbeat.
-READER_STALE_S = WATCH_TIMEOUT_S + 1.2
+# The watches of the two parts end in turn, each at a fixed phase of this period, so the
+# platform answers a reader every half period. The period includes WATCH_PAUSE_S.
+WATCH_PERIOD_S = WATCH_TIMEOUT_S + 0.1
+WATCH_PHASES_S = {
+    RegistryPart.CONFIGURATION: 0.0,
+    RegistryPart.SERVERS: WATCH_PERIOD_S / 2,
+}
+# A watch that would be shorter lasts until the next period.
+WATCH_MIN_S = 0.15
+# A reader announces each answer of the platform, so this allows for a late answer or
+# announcement. It bounds how late a zone learns of a change whose reader is cut off.
+READER_STALE_S = WATCH_PERIOD_S / 2 + 0.35
+# How much later each further VM in rank takes over, unless it hears that one before it
+# gets answers.
+READER_RANK_DELAY_S = 0.15
 # Most VMs of a zone that may read: the first ones in rank.
 READERS_MAX = 3
 # Pause between an answer of the platform and the next watch.
@@ -42,6 +56,7 @@
 READ_BACKOFF_S = 0.25
 READ_BACKOFF_MAX_S = 1.0
 READER_CHECK_PERIOD_S = 0.5
+READER_CHECK_MARGIN_S = 0.001
 PURPOSE_READ = "read_registry"
 # Subject of the timer, besides the registry parts.
 READER_CHECK = "duty"
@@ -52,6 +67,7 @@
     start_timer(world, TimerKind.REGISTRY_READ, READER_CHECK, now.monotonic_s)
 
 
+@functools.cache
 def rank_in_zone(zone: str, vm_id: str) -> bytes:
     """Return a VM's sort key in its zone; the lowest alive VM does zone-wide tasks."""
     return hashlib.blake2b(f"{zone}|{vm_id}".encode(), digest_size=8).digest()
@@ -68,20 +84,38 @@
     ]
 
 
+def _reader_from_s(world: World) -> float:
+    """Return the monotonic time from which this VM has to read the registry.
+
+    It is in the past for the best-ranked VM, and infinite for one that never reads.
+    """
+    better = better_ranked_vms(world)
+    if len(better) >= READERS_MAX:
+        return math.inf
+    answered_at_s = max(
+        (vm.status_updated_at_s - vm.platform_answer_age_s for vm in better),
+        default=-math.inf,
+    )
+    return (
+        answered_at_s + READER_STALE_S + READER_RANK_DELAY_S * max(0, len(better) - 1)
+    )
+
+
 def is_reader(world: World, now: Instant) -> bool:
     """Return whether this VM has to read the platform's registry.
 
     It does if it is among the first READERS_MAX in rank, and by their own reports
     the platform has not answered any better-ranked VM for READER_STALE_S.
     """
-    better = better_ranked_vms(world)
-    if len(better) >= READERS_MAX:
-        return False
-    return all(
-        vm.platform_answer_age_s + now.monotonic_s - vm.status_updated_at_s
-        > READER_STALE_S
-        for vm in better
-    )
+    return now.monotonic_s > _reader_from_s(world)
+
+
+def _watch_duration_s(part: RegistryPart, now: Instant) -> float:
+    """Return how long a watch that starts now lasts if nothing changes."""
+    until_phase_s = (WATCH_PHASES_S[part] - now.monotonic_s) % WATCH_PERIOD_S
+    if until_phase_s < WATCH_MIN_S:
+        until_phase_s += WATCH_PERIOD_S
+    return min(WATCH_TIMEOUT_S, until_phase_s)
 
 
 def read_registry_part(world: World, part: RegistryPart, now: Instant) -> None:
@@ -93,7 +127,7 @@
     world.registry_views.put(view._replace(operation_id=operation_id))
     is_watch = part in WATCHED_PARTS and view.watch_from_version > 0
     after_version = view.watch_from_version if is_watch else 0
-    wait_s = WATCH_TIMEOUT_S if is_watch else 0.0
+    wait_s = _watch_duration_s(part, now) if is_watch else 0.0
     count(world, "registry_reads", "subject", part)
     send(world, commands.ReadRegistry(operation_id, part, after_version, wait_s))
 
@@ -110,8 +144,16 @@
         ):
             read_registry_part(world, part, now)
     if subject == READER_CHECK:
-        due_s = now.monotonic_s + READER_CHECK_PERIOD_S
-        start_timer(world, TimerKind.REGISTRY_READ, READER_CHECK, due_s)
+        _schedule_next_check(world, now)
+
+
+def _schedule_next_check(world: World, now: Instant) -> None:
+    """Check again when this VM may have to take over, if that is known."""
+    from_s = _reader_from_s(world)
+    due_s = now.monotonic_s + READER_CHECK_PERIOD_S
+    if now.monotonic_s < from_s < math.inf:
+        due_s = from_s + READER_CHECK_MARGIN_S
+    start_timer(world, TimerKind.REGISTRY_READ, READER_CHECK, due_s)
 
 
 @system(Phase.OWNERSHIP, DIRECT)
@@ -150,8 +192,9 @@
             version=event.version,
             held=view.watch_from_version,
         )
-    elif _apply_rows(world, view.part, event, now):
-        broadcast_heartbeat(world, now)
+    is_changed = not is_stale and _apply_rows(world, view.part, event, now)
+    if is_changed or view.part in WATCHED_PARTS:
+        broadcast_heartbeat(world, now, include_other_zones=is_changed)
     if view.part in WATCHED_PARTS:
         due_s = now.monotonic_s + WATCH_PAUSE_S
         start_timer(world, TimerKind.REGISTRY_READ, view.part, due_s)
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -242,7 +242,14 @@
     sender = world.vms.get(sender_vm_id)
     if sender is None:
         return
-    world.vms.replace(sender._replace(status_updated_at_s=now.monotonic_s))
+    elapsed_s = now.monotonic_s - sender.status_updated_at_s
+    world.vms.replace(
+        sender._replace(
+            status_updated_at_s=now.monotonic_s,
+            # Reports don't say when the platform answered, so its age grows.
+            platform_answer_age_s=sender.platform_answer_age_s + elapsed_s,
+        )
+    )
     for observation in report.observations:
         apply_observation(world, observation.server_id, observation.kind, now)
     record_peer_successes(
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -142,10 +142,19 @@
     """Store a VM's row in the registry, unless it refuses that VM's calls."""
     fleet.registry.n_calls += 1
     error = PlatformUnavailableError if vm_id in fleet.registry.refused_vms else None
+    delay_s = REGISTRY_DELAY_S
+    if vm_id in fleet.registry.silenced_vms:
+        error = PlatformUnavailableError
+        delay_s = _registry_timeout_s(fleet, vm_id)
     if error is None:
         fleet.registry.vms[vm_id] = command.row
     event = events.RowWritten(command.operation_id, error)
-    fleet.later(REGISTRY_DELAY_S, lambda: fleet.post(vm_id, event))
+    fleet.later(delay_s, lambda: fleet.post(vm_id, event))
+
+
+def _registry_timeout_s(fleet, vm_id):
+    """Return the time limit of a VM's calls, beyond the duration of a watch."""
+    return fleet.worlds[vm_id].settings.platform.timeout_s
 
 
 @handlers("ReadRegistry")
@@ -158,6 +167,12 @@
 
 def _answer_read(fleet, vm_id, command, expires_at_s):
     registry = fleet.registry
+    if vm_id in registry.silenced_vms:
+        event = events.RegistryRead(command.operation_id, PlatformUnavailableError)
+        limit_s = expires_at_s + _registry_timeout_s(fleet, vm_id)
+        delay_s = limit_s - fleet.clock.elapsed_s
+        fleet.later(delay_s, lambda: fleet.post(vm_id, event))
+        return
     if vm_id in registry.refused_vms:
         event = events.RegistryRead(command.operation_id, PlatformUnavailableError)
     elif command.after_version == 0:
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -59,6 +59,8 @@
         changes: Version, part and key of each change, for watches.
         vms: Rows that VMs wrote, by VM ID.
         refused_vms: IDs of the VMs whose calls fail as unavailable.
+        silenced_vms: IDs of the VMs whose calls, also those in progress, get no answer
+            and fail at their time limit.
         is_history_gone: Whether the next watch fails, as if the changes after its
             version had been discarded.
         stale_full_read: Version and rows that a full read returns instead of the
@@ -73,6 +75,7 @@
         self.changes: list[tuple[int, RegistryPart, str]] = []
         self.vms: dict[str, Any] = {}
         self.refused_vms: set[str] = set()
+        self.silenced_vms: set[str] = set()
         self.is_history_gone = False
         self.stale_full_read: Any = None
         self.n_calls = 0
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -5,8 +5,13 @@
 import pytest
 
 from burdockhitch import events
+from burdockhitch.direct_messages import Report
 from burdockhitch.systems.direct.configuration import registry_view
-from burdockhitch.systems.direct.registry_reads import is_reader
+from burdockhitch.systems.direct.registry_reads import (
+    READER_STALE_S,
+    is_reader,
+    rank_in_zone,
+)
 from burdockhitch.tables.registry_views import RegistryPart
 from burdockhitch.tables.vms import VmStatus
 from burdockhitch.tests.direct_fakes import (
@@ -89,6 +94,83 @@
     assert set(configuration_versions(fleet).values()) == {7}
 
 
+def vms_in_rank(fleet, zone):
+    """Return the IDs of the VMs of a zone, in rank."""
+    vm_ids = [vm_id for vm_id in fleet.worlds if fleet.worlds[vm_id].local.zone == zone]
+    return sorted(vm_ids, key=lambda vm_id: rank_in_zone(zone, vm_id))
+
+
+def isolate_zone_a(fleet):
+    """Block everything between the VMs of zone a and those of other zones."""
+    inside = set(vms_in_rank(fleet, "a"))
+    outside = set(fleet.worlds) - inside
+    fleet.blocked_links |= {(a, b) for a in inside for b in outside}
+    fleet.blocked_links |= {(b, a) for a in inside for b in outside}
+
+
+def silence_first_readers_of_all_zones(fleet):
+    fleet.registry.silenced_vms |= {vms_in_rank(fleet, zone)[0] for zone in ZONES}
+
+
+def isolate_zone_a_and_report(fleet):
+    """Isolate zone a, and let its VMs send reports, which don't tell of the store."""
+    isolate_zone_a(fleet)
+    fleet.behaviour_by_server = dict.fromkeys(fleet.behaviour_by_server, "error")
+    for vm_id in vms_in_rank(fleet, "a"):
+        for number in range(40):
+            fleet.later(0.1 * number, lambda vm_id=vm_id: fleet.send(vm_id))
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("changed_after_s", [0.1, 0.5, 1.0, 1.5, 2.5])
+@pytest.mark.parametrize("n_silenced", [1, 2])
+@pytest.mark.parametrize(
+    "cause_fault",
+    [
+        cause_no_fault,
+        lose_messages,
+        silence_first_readers_of_all_zones,
+        isolate_zone_a,
+        isolate_zone_a_and_report,
+    ],
+)
+def test_changes_reach_a_zone_whose_first_readers_silently_lose_the_platform(
+    cause_fault, n_silenced, changed_after_s, seed
+):
+    fleet = start_fleet(n_vms=12, n_servers=6, zones=ZONES, seed=seed)
+    # So long that only the first of each zone still reads.
+    fleet.run(4.0 + seed * 0.7)
+    fleet.registry.silenced_vms.update(vms_in_rank(fleet, "a")[:n_silenced])
+    cause_fault(fleet)
+    fleet.run(changed_after_s)
+    fleet.add_server("1", zone="a", is_draining=True)
+    fleet.configure(7, make_route())
+    fleet.run(DRAIN_SPREAD_MAX_S)
+    others = set(fleet.worlds) - fleet.registry.silenced_vms
+    late_vms = {
+        vm_id
+        for vm_id in others
+        if not fleet.worlds[vm_id].backend_servers.fetch("1").is_draining
+    }
+    versions = configuration_versions(fleet)
+    assert (late_vms, {versions[vm_id] for vm_id in others}) == (set(), {7})
+
+
+@pytest.mark.parametrize("n_reports", [1, 5])
+def test_reports_of_a_reader_do_not_delay_the_takeover_by_the_next(n_reports):
+    fleet = start_fleet(n_vms=2)
+    fleet.run(4.0)
+    first, second = vms_in_rank(fleet, "a")
+    # Heartbeats are lost; the reports of the test are posted.
+    fleet.blocked_links.add((first, second))
+    for _ in range(n_reports):
+        fleet.run(READER_STALE_S / n_reports)
+        report = Report((), None)
+        fleet.post(second, events.VmMessageArrived(first, report))
+    fleet.run(0.1)
+    assert is_reader(fleet.worlds[second], fleet.clock.now())
+
+
 def test_frequent_configurations_never_revert_a_vm_to_an_older_one():
     fleet = start_fleet(n_vms=6, zones=ZONES, seed=3)
     fleet.loss_ratio = 0.2
