Report failures and live VMs to other zones once a zone, not once a VM

Cause: each failure went to all VMs of the fleet, and each VM's heartbeat to all VMs of other zones every four seconds, so messages grow with the square of the VMs.

Now the first VM of a zone adds the zone's observations since its last report to the report of loads, every 0.2 s, and every 2 s the rows of the zone's VMs. The second receiver in rank no longer applies a report twice, once directly and once forwarded; with observations this would count a failure twice. A dead VM of another zone is known within 8 s.

Tests: a failure counts once on every VM of three zones within 0.4 s; messages to a VM don't grow with the VMs of other zones (3 and 6 zones); a dead VM of another zone is marked, also the first in rank. None of them was run on the old code, which lacks the message; its limit for a dead VM of another zone was four times 3.2 s.

--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -68,7 +68,7 @@
 
     Attributes:
         observations: Observations not reported before.
-        loads: The sender's requests in flight; None for receivers in other zones.
+        loads: The sender's requests in flight; None if left out.
         succeeded_server_ids: Backend servers with a recent success that the sender
             has not reported to its zone before.
     """
@@ -78,17 +78,21 @@
     succeeded_server_ids: tuple[str, ...] = ()
 
 
-@vm_messages("zone_loads")
-class ZoneLoads(NamedTuple):
-    """Requests in flight from all VMs of one zone, for the other zones.
+@vm_messages("zone_report")
+class ZoneReport(NamedTuple):
+    """What one VM reports of its zone to the other zones.
 
     Attributes:
-        zone: Availability zone of the VMs that sent the requests.
-        loads: Sum of their requests in flight, by backend server.
+        zone: Availability zone of the VMs that the report is about.
+        loads: Sum of their requests in flight, by backend server; None if left out.
         succeeded_server_ids: Backend servers with a recent success that was not
             reported to other zones before.
+        observations: Their observations since the last report, without successes.
+        members: Rows of all VMs of the zone that are not dead; empty if left out.
     """
 
     zone: str
-    loads: tuple[ServerLoad, ...]
+    loads: tuple[ServerLoad, ...] | None
     succeeded_server_ids: tuple[str, ...] = ()
+    observations: tuple[Observation, ...] = ()
+    members: tuple[VmRow, ...] = ()
--- a/burdockhitch/systems/direct/__init__.py
+++ b/burdockhitch/systems/direct/__init__.py
@@ -22,7 +22,7 @@
     servers,
     snapshots,
     starting,
-    zone_loads,
+    zone_reports,
 )
 # isort: on
 
@@ -46,5 +46,5 @@
     "servers",
     "snapshots",
     "starting",
-    "zone_loads",
+    "zone_reports",
 ]
--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -36,9 +36,9 @@
 )
 
 HEARTBEAT_S = 1.0
-# Other zones get every fourth heartbeat: traffic between zones is expensive, and
-# callers are sent to VMs of their own zone.
-OTHER_ZONE_PERIODS = 4
+# VMs of other zones, of which this VM hears by lists, may be silent for so many times
+# HEARTBEAT_TIMEOUT_S.
+OTHER_ZONE_FACTOR = 4
 # Three missed heartbeats, and a margin for network delay.
 HEARTBEAT_TIMEOUT_S = 3.2
 # Time without messages of any VM after which this VM considers itself cut off.
@@ -156,8 +156,8 @@
 
 
 def _is_silent(world: World, vm: VmRow, now: Instant) -> bool:
-    n_periods = 1 if vm.zone == world.local.zone else OTHER_ZONE_PERIODS
-    return now.monotonic_s - vm.status_updated_at_s > HEARTBEAT_TIMEOUT_S * n_periods
+    factor = 1 if vm.zone == world.local.zone else OTHER_ZONE_FACTOR
+    return now.monotonic_s - vm.status_updated_at_s > HEARTBEAT_TIMEOUT_S * factor
 
 
 def _mark_silent_vms(world: World, now: Instant) -> None:
@@ -172,9 +172,13 @@
             world.vms.remove(vm.vm_id)
             replace_reported_loads(world, vm.vm_id, ())
         elif vm.status is not VmStatus.DEAD:
-            world.vms.replace(vm._replace(status=VmStatus.DEAD))
-            replace_reported_loads(world, vm.vm_id, ())
-            log_event(world, "WARNING", "vm_silent", vm=vm.vm_id, zone=vm.zone)
+            _mark_dead(world, vm)
+
+
+def _mark_dead(world: World, vm: VmRow) -> None:
+    world.vms.replace(vm._replace(status=VmStatus.DEAD))
+    replace_reported_loads(world, vm.vm_id, ())
+    log_event(world, "WARNING", "vm_silent", vm=vm.vm_id, zone=vm.zone)
 
 
 @timer_handlers(TimerKind.HEARTBEAT)
@@ -184,10 +188,7 @@
         write_own_row(world, subject, now)
         return
     _mark_silent_vms(world, now)
-    period_number = int(now.monotonic_s / HEARTBEAT_S)
-    broadcast_heartbeat(
-        world, now, include_other_zones=period_number % OTHER_ZONE_PERIODS == 0
-    )
+    broadcast_heartbeat(world, now, include_other_zones=False)
     due_s = now.monotonic_s + HEARTBEAT_S
     start_timer(world, TimerKind.HEARTBEAT, SEND_HEARTBEAT, due_s)
 
@@ -232,6 +233,23 @@
         world.vms.put(row._replace(status_updated_at_s=now.monotonic_s, is_ready=False))
 
 
+def apply_zone_members(
+    world: World, zone: str, members: tuple[VmRow, ...], now: Instant
+) -> None:
+    """Apply the list of another zone's VMs; those that left it are dead.
+
+    A VM that isn't listed yet but was heard lately has just started.
+    """
+    for row in members:
+        apply_vm_row(world, row, now)
+    listed = {row.vm_id for row in members}
+    for vm in world.vms.select("zone", zone):
+        silent_s = now.monotonic_s - vm.status_updated_at_s
+        is_lost = vm.vm_id not in listed and silent_s > HEARTBEAT_TIMEOUT_S
+        if is_lost and vm.status is not VmStatus.DEAD:
+            _mark_dead(world, vm)
+
+
 @message_handlers("heartbeat")
 def handle_heartbeat(
     world: World, sender_vm_id: str, message: Heartbeat, now: Instant
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -24,6 +24,7 @@
     PeerLoadTotalRow,
     ReportedLoadRow,
     UnreportedObservationRow,
+    ZoneObservationRow,
 )
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmRow, VmStatus
@@ -59,9 +60,8 @@
     ):
         return
     sequence = next_sequence(world, "observation")
-    is_for_other_zones = kind != SUCCESS
     world.unreported_observations.insert(
-        UnreportedObservationRow(sequence, server_id, kind, is_for_other_zones)
+        UnreportedObservationRow(sequence, server_id, kind)
     )
 
 
@@ -173,7 +173,7 @@
 
 @system(Phase.ACCOUNTING, DIRECT)
 def send_reports(world: World, now: Instant) -> None:
-    """Report observations to all VMs, and loads within the zone.
+    """Report observations and loads within the zone.
 
     While no service is busy no loads are reported, apart from an empty list that
     withdraws the last ones.
@@ -191,12 +191,22 @@
     same_zone = [vm.message_address for vm in peers if vm.zone == zone]
     succeeded_server_ids = pop_unreported_in_zone(world, now)
     _send_report(world, same_zone, Report(observations, loads, succeeded_server_ids))
-    for_other_zones = tuple(
-        Observation(row.server_id, row.kind) for row in rows if row.is_for_other_zones
-    )
-    if for_other_zones:
-        other_zones = [vm.message_address for vm in peers if vm.zone != zone]
-        _send_report(world, other_zones, Report(for_other_zones, None))
+    _record_zone_observations(world, observations)
+
+
+def _record_zone_observations(
+    world: World, observations: tuple[Observation, ...]
+) -> None:
+    """Store observations of this zone's VMs for its next report to other zones.
+
+    Successes are left out: VMs of other zones try the server again by themselves.
+    """
+    for server_id, kind in observations:
+        if kind != SUCCESS:
+            sequence = next_sequence(world, "zone_observation")
+            world.zone_observations.insert(
+                ZoneObservationRow(sequence, server_id, kind)
+            )
 
 
 def _as_loads(rows: list[ReportedLoadRow]) -> tuple[ServerLoad, ...]:
@@ -252,6 +262,7 @@
     )
     for observation in report.observations:
         apply_observation(world, observation.server_id, observation.kind, now)
+    _record_zone_observations(world, report.observations)
     record_peer_successes(
         world, report.succeeded_server_ids, now, is_from_other_zone=False
     )
--- a/burdockhitch/systems/direct/starting.py
+++ b/burdockhitch/systems/direct/starting.py
@@ -4,7 +4,7 @@
 from burdockhitch.systems.direct.membership import start_membership
 from burdockhitch.systems.direct.message_ticks import schedule_message_tick
 from burdockhitch.systems.direct.registry_reads import schedule_reader_check
-from burdockhitch.systems.direct.zone_loads import schedule_zone_sum
+from burdockhitch.systems.direct.zone_reports import schedule_zone_reports
 from burdockhitch.world import World
 
 
@@ -13,4 +13,4 @@
     start_membership(world, now)
     schedule_reader_check(world, now)
     schedule_message_tick(world, now)
-    schedule_zone_sum(world, now)
+    schedule_zone_reports(world, now)
--- /dev/null
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -0,0 +1,159 @@
+"""Reports of one zone to all others: loads, successes, failures and its VMs.
+
+Within a zone each VM reports to all others. Between zones that would be too much
+traffic, so one VM of a zone sums up what it knows of its zone and sends it to the first
+two VMs in rank of each other zone, and the first of them forwards it within its zone.
+"""
+
+from burdockhitch import commands
+from burdockhitch.clock import Instant
+from burdockhitch.direct_messages import Observation, ZoneReport
+from burdockhitch.systems.direct.membership import apply_zone_members, refresh_own_row
+from burdockhitch.systems.direct.recent_successes import (
+    pop_unreported_for_other_zones,
+    record_peer_successes,
+)
+from burdockhitch.systems.direct.registry_reads import better_ranked_vms, rank_in_zone
+from burdockhitch.systems.direct.reports import (
+    is_any_service_busy,
+    live_peers,
+    replace_reported_loads,
+    same_zone_loads,
+)
+from burdockhitch.systems.direct.server_estimates import apply_observation
+from burdockhitch.systems.timing import message_handlers, timer_handlers
+from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tables.vms import VmRow, VmStatus
+from burdockhitch.world import World, send, start_timer
+
+# About the duration of a request; older loads say little.
+ZONE_REPORT_PERIOD_S = 0.2
+# Allows for three lost reports in a row, and for the time for which a report waits to
+# be read at the two VMs on its way.
+ZONE_LOADS_EXPIRY_S = 1.0
+# Six lists fit into the silence after which a VM of another zone counts as dead.
+MEMBERS_PERIOD_S = 2.0
+# More than one, since the death of the first is known in its own zone long before it
+# is known here.
+RECEIVERS_PER_ZONE = 2
+# Subjects of the timer, besides the names of zones whose loads expire.
+SEND_REPORT = "sums"
+SEND_MEMBERS = "members"
+
+
+def schedule_zone_reports(world: World, now: Instant) -> None:
+    """Schedule the first report of this zone and the first list of its VMs."""
+    for subject, period_s in (
+        (SEND_REPORT, ZONE_REPORT_PERIOD_S),
+        (SEND_MEMBERS, MEMBERS_PERIOD_S),
+    ):
+        start_timer(world, TimerKind.ZONE_REPORT, subject, now.monotonic_s + period_s)
+
+
+def _receiver_addresses(world: World, zone: str) -> list[str]:
+    """Return the message addresses of the VMs of a zone that receive reports."""
+    alive = [vm for vm in world.vms.select("zone", zone) if vm.status is VmStatus.ALIVE]
+    alive.sort(key=lambda vm: rank_in_zone(zone, vm.vm_id))
+    return [vm.message_address for vm in alive[:RECEIVERS_PER_ZONE]]
+
+
+def _send_to_other_zones(world: World, report: ZoneReport) -> None:
+    zones = [zone for zone in world.vms.values("zone") if zone != report.zone]
+    addresses = [
+        address for zone in zones for address in _receiver_addresses(world, zone)
+    ]
+    if addresses:
+        send(world, commands.BroadcastMessage(tuple(addresses), report))
+
+
+def _pop_observations(world: World) -> tuple[Observation, ...]:
+    """Remove and return the zone's observations since the last report."""
+    rows = list(world.zone_observations)
+    world.zone_observations.clear()
+    return tuple(Observation(row.server_id, row.kind) for row in rows)
+
+
+@timer_handlers(TimerKind.ZONE_REPORT)
+def handle_zone_report_timer(world: World, subject: str, now: Instant) -> None:
+    """Send a report or a list if first in rank, or expire another zone's loads."""
+    if subject == SEND_REPORT:
+        due_s = now.monotonic_s + ZONE_REPORT_PERIOD_S
+        start_timer(world, TimerKind.ZONE_REPORT, SEND_REPORT, due_s)
+        _send_report(world, now)
+    elif subject == SEND_MEMBERS:
+        due_s = now.monotonic_s + MEMBERS_PERIOD_S
+        start_timer(world, TimerKind.ZONE_REPORT, SEND_MEMBERS, due_s)
+        _send_members(world, now)
+    else:
+        replace_reported_loads(world, _loads_key(subject), ())
+
+
+def _send_report(world: World, now: Instant) -> None:
+    """Report observations, and loads and successes while a service is busy."""
+    observations = _pop_observations(world)
+    is_busy = is_any_service_busy(world)
+    if not (is_busy or observations) or better_ranked_vms(world):
+        return
+    report = ZoneReport(
+        world.local.zone,
+        same_zone_loads(world) if is_busy else (),
+        pop_unreported_for_other_zones(world, now),
+        observations,
+    )
+    _send_to_other_zones(world, report)
+
+
+def _send_members(world: World, now: Instant) -> None:
+    """Tell the other zones which VMs of this zone are alive."""
+    if better_ranked_vms(world):
+        return
+    zone = world.local.zone
+    refresh_own_row(world, now)
+    members = tuple(
+        vm for vm in world.vms.select("zone", zone) if vm.status is not VmStatus.DEAD
+    )
+    _send_to_other_zones(world, ZoneReport(zone, None, members=members))
+
+
+def _loads_key(zone: str) -> str:
+    """Return the key of a zone's loads where loads are stored by VM."""
+    return f"zone {zone}"
+
+
+def _is_forwarded(world: World, sender: VmRow | None) -> bool:
+    return sender is None or sender.zone == world.local.zone
+
+
+@message_handlers("zone_report")
+def handle_zone_report(
+    world: World, sender_vm_id: str, report: ZoneReport, now: Instant
+) -> None:
+    """Apply another zone's report; the first VM of this zone forwards it to the others.
+
+    The others ignore a report that reaches them directly, since they get it again.
+    """
+    is_forwarded = _is_forwarded(world, world.vms.get(sender_vm_id))
+    if not is_forwarded and better_ranked_vms(world):
+        return
+    _apply_report(world, report, now)
+    if is_forwarded:
+        return
+    same_zone = tuple(
+        vm.message_address for vm in live_peers(world) if vm.zone == world.local.zone
+    )
+    if same_zone:
+        send(world, commands.BroadcastMessage(same_zone, report))
+
+
+def _apply_report(world: World, report: ZoneReport, now: Instant) -> None:
+    for observation in report.observations:
+        apply_observation(world, observation.server_id, observation.kind, now)
+    record_peer_successes(
+        world, report.succeeded_server_ids, now, is_from_other_zone=True
+    )
+    if report.loads is not None:
+        replace_reported_loads(world, _loads_key(report.zone), report.loads)
+        due_s = now.monotonic_s + ZONE_LOADS_EXPIRY_S
+        start_timer(world, TimerKind.ZONE_REPORT, report.zone, due_s)
+    if report.members:
+        apply_zone_members(world, report.zone, report.members, now)
--- a/burdockhitch/tables/server_estimates.py
+++ b/burdockhitch/tables/server_estimates.py
@@ -96,14 +96,25 @@
         sequence: Position in the order of the observations.
         server_id: Backend server.
         kind: Name of a registered kind of observation, such as ``failure``.
-        is_for_other_zones: Whether VMs of other zones get it too, not only those of
-            this zone.
     """
 
     sequence: int
     server_id: str
     kind: str
-    is_for_other_zones: bool
+
+
+class ZoneObservationRow(NamedTuple):
+    """An observation by a VM of this zone that may have to be told to other zones.
+
+    Attributes:
+        sequence: Position in the order of the observations.
+        server_id: Backend server.
+        kind: Name of a registered kind of observation, such as ``failure``.
+    """
+
+    sequence: int
+    server_id: str
+    kind: str
 
 
 class RecentSuccessRow(NamedTuple):
@@ -149,6 +160,11 @@
     return Table(UnreportedObservationRow, key="sequence")
 
 
+def make_zone_observations() -> Table[ZoneObservationRow]:
+    """Return an empty table of the zone's observations since its last report."""
+    return Table(ZoneObservationRow, key="sequence")
+
+
 def make_recent_successes() -> Table[RecentSuccessRow]:
     """Return an empty table of recent successes by backend server."""
     return Table(RecentSuccessRow, key="server_id")
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -86,7 +86,7 @@
     REGISTRY_READ = "registry_read"
     MISSING_SERVER = "departure"
     MESSAGE_TICK = "collect"
-    ZONE_LOADS = "zone_loads"
+    ZONE_REPORT = "zone_report"
 
 
 class TimerRow(NamedTuple):
--- a/burdockhitch/tests/test_direct_floor.py
+++ b/burdockhitch/tests/test_direct_floor.py
@@ -14,7 +14,7 @@
 @pytest.fixture(autouse=True)
 def always_report_loads(monkeypatch):
     """Make VMs always report loads, and with them recent successes."""
-    for module in ("reports", "zone_loads"):
+    for module in ("reports", "zone_reports"):
         name = f"burdockhitch.systems.direct.{module}.is_any_service_busy"
         monkeypatch.setattr(name, lambda _world: True)
 
--- a/burdockhitch/tests/test_direct_zone_loads.py
+++ b/burdockhitch/tests/test_direct_zone_reports.py
@@ -1,14 +1,23 @@
-"""Tests the sums of a zone's loads that its VMs send to other zones.
+"""Tests the reports of a zone that one of its VMs sends to other zones.
 
-The sums go to the first two VMs in rank of each other zone, and the first of them
-forwards them within its zone.
+They go to the first two VMs in rank of each other zone, and the first of them forwards
+them within its zone.
 """
 
 import pytest
 
+from burdockhitch import events
+from burdockhitch.systems.direct.membership import HEARTBEAT_TIMEOUT_S
 from burdockhitch.systems.direct.registry_reads import better_ranked_vms
-from burdockhitch.systems.direct.reports import last_reported_loads
+from burdockhitch.systems.direct.reports import last_reported_loads, report_observation
+from burdockhitch.systems.direct.server_estimates import FAILURE, p_failing
+from burdockhitch.systems.direct.zone_reports import (
+    MEMBERS_PERIOD_S,
+    ZONE_REPORT_PERIOD_S,
+)
+from burdockhitch.tables.vms import VmStatus
 from burdockhitch.tests.direct_fakes import make_route, start_fleet
+from burdockhitch.world import count_posted_events
 
 ZONES = ("a", "b")
 
@@ -104,3 +113,54 @@
         for row in fleet.worlds["vm-2"].reported_loads.select("vm_id", "vm-0")
     }
     assert loads_reported_by_vm_0 and loads_known_of_vm_0 == loads_reported_by_vm_0
+
+
+def test_a_failure_counts_once_on_every_vm_of_all_zones():
+    fleet = start_fleet(n_vms=12, n_servers=3, zones=("a", "b", "c"))
+    world = fleet.worlds["vm-0"]
+    report_observation(world, "1", FAILURE, world.clock.now())
+    fleet.run(2 * ZONE_REPORT_PERIOD_S)
+    now = fleet.clock.now()
+    estimates = [
+        p_failing(other.server_estimates.fetch("1"), now)
+        for other in fleet.worlds.values()
+    ]
+    assert min(estimates) > 0.5
+    assert max(estimates) - min(estimates) < 0.1
+
+
+@pytest.mark.parametrize("n_zones", [3, 6])
+def test_messages_that_a_vm_gets_do_not_grow_with_the_vms_of_other_zones(n_zones):
+    """At 3 and at 6 zones, 4 VMs a zone: own heartbeats, and reports of other zones."""
+    zones = tuple(f"zone-{number}" for number in range(n_zones))
+    fleet = start_fleet(n_vms=4 * n_zones, n_servers=3, zones=zones)
+    fleet.run(5.0)
+    worlds = list(fleet.worlds.values())
+    before = [count_posted_events(world, events.VmMessageArrived) for world in worlds]
+    duration_s = 12.0
+    fleet.run(duration_s)
+    after = [count_posted_events(world, events.VmMessageArrived) for world in worlds]
+    n_heartbeats = 3 * (duration_s + 1)
+    n_lists = 2 * (n_zones - 1) * (duration_s / MEMBERS_PERIOD_S + 1)
+    n_received = [end - start for start, end in zip(before, after, strict=True)]
+    # A reader announces each of the platform's answers by a heartbeat.
+    assert max(n_received) <= 3 * n_heartbeats + n_lists
+
+
+@pytest.mark.parametrize("is_first_in_rank", [False, True])
+def test_a_dead_vm_of_another_zone_is_not_taken_for_alive(is_first_in_rank):
+    fleet = start_fleet(n_vms=12, n_servers=3, zones=("a", "b", "c"))
+    fleet.run(2.0)
+    killed_vm_id = next(
+        vm_id
+        for vm_id, world in fleet.worlds.items()
+        if world.local.zone == "b"
+        and (not better_ranked_vms(world)) is is_first_in_rank
+    )
+    fleet.kill_vm(killed_vm_id)
+    # It is silent in its zone first, and then missing in two lists of that zone.
+    fleet.run(HEARTBEAT_TIMEOUT_S + 1.0 + 2 * MEMBERS_PERIOD_S)
+    for world in fleet.worlds.values():
+        assert world.vms.fetch(killed_vm_id).status is VmStatus.DEAD
+        alive = [vm for vm in world.vms if vm.status is VmStatus.ALIVE]
+        assert len(alive) == 11
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -84,6 +84,7 @@
     peer_load_totals: Table[estimate_tables.PeerLoadTotalRow]
     service_times: Table[estimate_tables.ServiceTimeRow]
     unreported_observations: Table[estimate_tables.UnreportedObservationRow]
+    zone_observations: Table[estimate_tables.ZoneObservationRow]
     recent_successes: Table[estimate_tables.RecentSuccessRow]
     registry_views: Table[registry_views.RegistryViewRow]
     missing_servers: Table[registry_views.MissingServerRow]
@@ -158,6 +159,7 @@
         peer_load_totals=estimate_tables.make_peer_load_totals(),
         service_times=estimate_tables.make_service_times(),
         unreported_observations=estimate_tables.make_unreported_observations(),
+        zone_observations=estimate_tables.make_zone_observations(),
         recent_successes=estimate_tables.make_recent_successes(),
         registry_views=registry_views.make_registry_views(),
         missing_servers=registry_views.make_missing_servers(),
