Limit heads, framing and late answers of servers, and all open answers together

Interim answers and small chunks also kept the loop busy: a read of 64 KiB takes 27 ms and 75 ms to parse (h11 alone, measured here).

Cause: only the body and, within h11, an incomplete head were limited. A body was held as a list of parts, 22 times its size for chunks of two bytes (1.4 MB for 64 KiB). A closed connection kept what it had received until the garbage collector found it, since it is part of a cycle with Twisted's objects. Nothing limited the answers of all connections together: 50 servers within the limit of one answer held 3.4 MB where each may send 64 KiB. A connection closed for stray bytes could be taken from the pool until Twisted reported it lost.

Ruled out: a total of all received bytes as the only limit; chunks of one byte stay far below it for seconds of parsing.

Why it works: limits of head, framing, interim and late answers end each endless stream after a bounded number of bytes, whatever the sizes of the reads; an announced length above the limit ends it at the head. All answers in progress share open_answers_max, above which the largest is given up. Each rejected answer is logged.

--- a/burdockhitch/adapters/connections.py
+++ b/burdockhitch/adapters/connections.py
@@ -10,13 +10,17 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ClientFactory
 
+from burdockhitch.adapters.answer_limits import (
+    INTERNAL_ANSWER_MAX_BYTES,
+    AnswerLimits,
+    OpenAnswers,
+)
 from burdockhitch.adapters.exchange import HttpAnswer, HttpConnection, HttpRequest
 from burdockhitch.errors import ExchangeFailedError
 from burdockhitch.events import AttemptFailure
 
 IDLE_CONNECTIONS_PER_SERVER_MAX = 4
-# Larger than any answer of the store or of another VM.
-INTERNAL_ANSWER_MAX_BYTES = 64 * 1024 * 1024
+INTERNAL_LIMITS = AnswerLimits(INTERNAL_ANSWER_MAX_BYTES, INTERNAL_ANSWER_MAX_BYTES)
 OnConnected = Callable[[HttpConnection], None]
 
 
@@ -112,7 +116,7 @@
         raise ExchangeFailedError(f"{address}: no answer in {timeout_s} s")
 
     connection = HttpConnection(
-        INTERNAL_ANSWER_MAX_BYTES,
+        OpenAnswers(INTERNAL_LIMITS),
         lambda idle, _idle_max_s: idle.abort(),
         lambda _connection: None,
     )
@@ -142,7 +146,7 @@
         reactor: Twisted reactor.
         now_s: Returns the time on the monotonic clock.
         connect_timeout_s: Limit for establishing a connection.
-        answer_max_bytes: Size limit of an answer body.
+        limits: Limits of each answer and of all answers in progress together.
     """
 
     def __init__(
@@ -150,12 +154,12 @@
         reactor: Any,
         now_s: Callable[[], float],
         connect_timeout_s: float,
-        answer_max_bytes: int,
+        limits: AnswerLimits,
     ) -> None:
         self._reactor = reactor
         self._now_s = now_s
         self._connect_timeout_s = connect_timeout_s
-        self._answer_max_bytes = answer_max_bytes
+        self._open_answers = OpenAnswers(limits)
         self._idle_connections: dict[str, list[_IdleConnection]] = {}
 
     def acquire(self, address: str) -> HttpConnection | None:
@@ -174,7 +178,7 @@
     ) -> None:
         """Open a new connection; calls exactly one of the callbacks."""
         connection = HttpConnection(
-            self._answer_max_bytes,
+            self._open_answers,
             lambda connection, idle_max_s: self._store_idle(
                 address, connection, idle_max_s
             ),
--- a/burdockhitch/adapters/exchange.py
+++ b/burdockhitch/adapters/exchange.py
@@ -6,6 +6,7 @@
 belongs to.
 """
 
+import socket
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -14,7 +15,15 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from burdockhitch import log
+from burdockhitch.adapters.answer_limits import (
+    INTERIM_ANSWERS_MAX,
+    RECEIVE_BUFFER_BYTES,
+    SKIPPED_ANSWERS_MAX,
+    OpenAnswers,
+)
 from burdockhitch.adapters.headers import HeaderPairs, decode_all_headers, find_header
+from burdockhitch.errors import AnswerLimitError
 from burdockhitch.events import AttemptFailure
 
 REQUEST_ID = "request-id"
@@ -23,6 +32,9 @@
 # longer reused.
 IDLE_TIMEOUT_FRACTION = 0.6
 IDLE_TIMEOUT_MAX_S = 5.0
+# Answers with these statuses, and those to HEAD, have no body whatever they announce.
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+DETAIL_MAX_CHARACTERS = 200
 
 
 class HttpRequest(NamedTuple):
@@ -65,7 +77,8 @@
     """A client connection to an HTTP server.
 
     Args:
-        answer_max_bytes: Size limit of an answer body.
+        open_answers: Limits, and the answers in progress on this and other
+            connections.
         on_idle: Called when the connection can be reused, with the time in seconds
             for which it may stay idle.
         on_disconnected: Called when the connection is closed by either side.
@@ -76,26 +89,41 @@
 
     def __init__(
         self,
-        answer_max_bytes: int,
+        open_answers: OpenAnswers,
         on_idle: Callable[["HttpConnection", float], None],
         on_disconnected: Callable[["HttpConnection"], None],
     ) -> None:
-        self._answer_max_bytes = answer_max_bytes
+        self._open_answers = open_answers
+        self._limits = open_answers.limits
         self._on_idle = on_idle
         self._on_disconnected = on_disconnected
         self.on_connected: Callable[[HttpConnection], None] | None = None
-        self._codec = h11.Connection(h11.CLIENT)
         self._request: HttpRequest | None = None
         self._on_result: OnResult | None = None
-        self._answer_head: Any = None
-        self._body_parts: list[bytes] = []
-        self._n_body_bytes = 0
         self._is_disconnected = False
+        self._start_exchange()
+
+    def _start_exchange(self) -> None:
+        self._start_answer()
+        self._n_skipped = 0
+
+    def _start_answer(self) -> None:
+        self._codec = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._limits.head_max_bytes
+        )
+        self._answer_head: Any = None
+        self._n_received_bytes = 0
+        self._n_head_bytes = 0
+        self._n_interim = 0
+        self._body = bytearray()
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Disable Nagle's algorithm and call ``on_connected``."""
+        """Set socket options and call ``on_connected``."""
         transport: Any = self.transport
         transport.setTcpNoDelay(True)
+        transport.getHandle().setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         if self.on_connected is not None:
             self.on_connected(self)
 
@@ -113,11 +141,33 @@
 
     def abort(self) -> None:
         """Close the connection at once, without a result for a request in progress."""
-        self._on_result = None
+        self._release_memory()
         transport: Any = self.transport
         if transport is not None:
             transport.abortConnection()
 
+    def reject(self, detail: str) -> None:
+        """Log why the answer is given up, close the connection and report a failure."""
+        transport: Any = self.transport
+        peer = transport.getPeer()
+        fields = {
+            "address": f"{peer.host}:{peer.port}",
+            "request_id": self._request.request_id if self._request else "",
+            "detail": detail[:DETAIL_MAX_CHARACTERS],
+        }
+        log.write_event("WARNING", "answer_rejected", fields)
+        self._fail(AttemptFailure.BROKEN)
+
+    def _release_memory(self) -> None:
+        """Drop all that was received, since the closed connection may live on.
+
+        It is part of a reference cycle with the objects of Twisted.
+        """
+        self._on_result = None
+        self._request = None
+        self._open_answers.release(self)
+        self._start_exchange()
+
     def _encode(self, request: HttpRequest) -> bytes:
         head = h11.Request(
             method=request.method,
@@ -135,13 +185,43 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse a part of the answer; abort if no request is in progress."""
         if self._request is None:
+            # The connection is reported lost only later, and must not be reused before.
+            self._on_disconnected(self)
             self.abort()
             return
+        self._n_received_bytes += len(data)
         try:
             self._codec.receive_data(data)
             self._process_codec_events()
-        except h11.RemoteProtocolError:
-            self._fail(AttemptFailure.BROKEN)
+            if self._on_result is not None:
+                self._check_open_answer()
+        except (h11.RemoteProtocolError, AnswerLimitError) as error:
+            # A frame of the traceback holds the error, and others the codec's buffer.
+            self.reject(str(error.with_traceback(None)))
+
+    def _check_open_answer(self) -> None:
+        """Check the limits of an answer in progress.
+
+        Raises:
+            AnswerLimitError: If its head or its chunk framing is too large.
+        """
+        n_body_bytes = len(self._body)
+        n_unparsed_bytes = len(self._codec.trailing_data[0])
+        if self._answer_head is None:
+            self._check_head_size(self._n_received_bytes)
+        n_framing_bytes = (
+            self._n_received_bytes
+            - self._n_head_bytes
+            - n_body_bytes
+            - n_unparsed_bytes
+        )
+        if n_framing_bytes > self._limits.framing_max_bytes(n_body_bytes):
+            raise AnswerLimitError("chunk framing without end")
+        self._open_answers.resize(self, n_body_bytes + n_unparsed_bytes)
+
+    def _check_head_size(self, n_bytes: int) -> None:
+        if n_bytes > self._limits.head_max_bytes:
+            raise AnswerLimitError(f"head of {n_bytes} bytes or more")
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Complete the answer if a clean close marks its end, else report a failure."""
@@ -161,22 +241,45 @@
     def _process_codec_events(self) -> None:
         while self._on_result is not None:
             event = self._codec.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is h11.NEED_DATA:
                 return
-            if isinstance(event, h11.ConnectionClosed):
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 self._fail(AttemptFailure.BROKEN)
+            elif isinstance(event, h11.InformationalResponse):
+                self._n_interim += 1
+                if self._n_interim > INTERIM_ANSWERS_MAX:
+                    raise AnswerLimitError("interim answers without end")
             elif isinstance(event, h11.Response):
+                self._check_head(event)
                 self._answer_head = event
             elif isinstance(event, h11.Data):
-                self._append_body(bytes(event.data))
+                self._append_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._complete_answer()
 
+    def _check_head(self, head: Any) -> None:
+        """Check the sizes of a head and of the body that it announces.
+
+        Raises:
+            AnswerLimitError: If one of them is too large.
+        """
+        n_unparsed_bytes = len(self._codec.trailing_data[0])
+        self._n_head_bytes = self._n_received_bytes - n_unparsed_bytes
+        self._check_head_size(self._n_head_bytes)
+        if self._request is None or self._request.method == "HEAD":
+            return
+        if head.status_code in STATUSES_WITHOUT_BODY:
+            return
+        values = dict(head.headers)
+        n_announced_bytes = int(values.get(b"content-length", b"0"))
+        is_chunked = b"transfer-encoding" in values
+        if not is_chunked and n_announced_bytes > self._limits.body_max_bytes:
+            raise AnswerLimitError(f"body of {n_announced_bytes} bytes announced")
+
     def _append_body(self, data: bytes) -> None:
-        self._n_body_bytes += len(data)
-        self._body_parts.append(data)
-        if self._n_body_bytes > self._answer_max_bytes:
-            self._fail(AttemptFailure.BROKEN)
+        self._body += data
+        if len(self._body) > self._limits.body_max_bytes:
+            raise AnswerLimitError("body too large")
 
     def _complete_answer(self) -> None:
         assert self._request is not None and self._answer_head is not None
@@ -186,9 +289,7 @@
         if answered_id and expected_id and answered_id != expected_id:
             self._skip_stale_answer()
             return
-        answer = HttpAnswer(
-            self._answer_head.status_code, pairs, b"".join(self._body_parts)
-        )
+        answer = HttpAnswer(self._answer_head.status_code, pairs, bytes(self._body))
         on_result = self._on_result
         self._on_result = None
         self._release_connection(pairs)
@@ -202,18 +303,16 @@
         if is_peer_closed or self._codec.their_state is not h11.DONE or request is None:
             self._fail(AttemptFailure.BROKEN)
             return
-        self._reset_codec()
+        self._n_skipped += 1
+        if self._n_skipped > SKIPPED_ANSWERS_MAX:
+            raise AnswerLimitError("late answers without end")
+        self._start_answer()
         # Brings the new codec to the state after the request; nothing is sent again.
         self._encode(request)
         if trailing_data:
+            self._n_received_bytes = len(trailing_data)
             self._codec.receive_data(trailing_data)
 
-    def _reset_codec(self) -> None:
-        self._codec = h11.Connection(h11.CLIENT)
-        self._answer_head = None
-        self._body_parts = []
-        self._n_body_bytes = 0
-
     def _release_connection(self, pairs: HeaderPairs) -> None:
         """Offer the connection for reuse if both sides are done, else close it.
 
@@ -221,7 +320,6 @@
         read the body, so the connection is closed then, too.
         """
         request = self._request
-        self._request = None
         is_fully_exchanged = (
             self._codec.our_state is h11.DONE
             and self._codec.their_state is h11.DONE
@@ -231,14 +329,12 @@
             self._answer_head.status_code >= 400 and request and request.body
         )
         idle_max_s = parse_keep_alive(find_header(pairs, KEEP_ALIVE))
+        self._release_memory()
         if self._is_disconnected:
             return
         if not is_fully_exchanged or may_have_unread_body or idle_max_s <= 0:
-            transport: Any = self.transport
-            if transport is not None:
-                transport.abortConnection()
+            self.abort()
             return
-        self._reset_codec()
         self._on_idle(self, idle_max_s)
 
     def _fail(self, failure: AttemptFailure) -> None:
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -285,6 +285,10 @@
     """An HTTP call ended without a complete answer."""
 
 
+class AnswerLimitError(BurdockhitchError):
+    """A server sent more bytes than an answer may have."""
+
+
 class SnapshotError(BurdockhitchError):
     """Another VM's copy of the platform's registry can't be read."""
 
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -8,6 +8,7 @@
 from twisted.web.server import Site
 
 from burdockhitch import commands, events, log
+from burdockhitch.adapters.answer_limits import AnswerLimits
 from burdockhitch.adapters.connections import ConnectionPool
 from burdockhitch.adapters.datagrams import Datagrams
 from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
@@ -72,7 +73,9 @@
         reactor,
         lambda: world.clock.now().monotonic_s,
         server_settings.connect_timeout_s,
-        server_settings.answer_max_bytes,
+        AnswerLimits(
+            server_settings.answer_max_bytes, server_settings.open_answers_max_bytes
+        ),
     )
     process = PlatformProcess(
         world=world,
--- a/burdockhitch/settings.py
+++ b/burdockhitch/settings.py
@@ -32,6 +32,7 @@
 DEFAULT_TOKEN_LIFETIME_S = 600.0
 DEFAULT_CONNECT_TIMEOUT_S = 0.5
 DEFAULT_ANSWER_MAX_BYTES = 4 * 1024 * 1024
+DEFAULT_OPEN_ANSWERS_MAX_BYTES = 32 * 1024 * 1024
 DEFAULT_SERVER_PROBE_TIMEOUT_S = 1.0
 DEFAULT_HOLD_S = 5.0
 DEFAULT_HOLD_MAX_S = 300.0
@@ -157,6 +158,8 @@
     Attributes:
         connect_timeout_s: Timeout for opening a connection.
         answer_max_bytes: Maximum size of an answer.
+        open_answers_max_bytes: Maximum size of all answers in progress together, on
+            the users' platform.
         probe_timeout_s: Timeout of a health probe.
         hold_s: Time from an ejection to the first probe; it doubles with each
             ejection less than ``REPEATED_EJECTION_INTERVAL_MAX_S`` of
@@ -166,6 +169,7 @@
 
     connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S
     answer_max_bytes: int = DEFAULT_ANSWER_MAX_BYTES
+    open_answers_max_bytes: int = DEFAULT_OPEN_ANSWERS_MAX_BYTES
     probe_timeout_s: float = DEFAULT_SERVER_PROBE_TIMEOUT_S
     hold_s: float = DEFAULT_HOLD_S
     hold_max_s: float = DEFAULT_HOLD_MAX_S
@@ -404,6 +408,14 @@
             f"{servers.hold_s}s",
             f"at most hold_max ({servers.hold_max_s}s)",
         )
+    if servers.answer_max_bytes > servers.open_answers_max_bytes:
+        raise SettingsError(
+            path,
+            "backend_servers",
+            "answer_max",
+            f"{servers.answer_max_bytes}B",
+            f"at most open_answers_max ({servers.open_answers_max_bytes}B)",
+        )
     addresses = settings.vm[2:5]
     if len(set(addresses)) < len(addresses):
         raise SettingsError(
--- a/burdockhitch/tests/test_connections.py
+++ b/burdockhitch/tests/test_connections.py
@@ -5,6 +5,7 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
+from burdockhitch.adapters.answer_limits import AnswerLimits
 from burdockhitch.adapters.connections import (
     ConnectionPool,
     make_internal_request,
@@ -19,11 +20,17 @@
 
 
 class Transport(StringTransport):
-    """A string transport on which TCP_NODELAY can be set, without effect."""
+    """A string transport on which socket options can be set, without effect."""
 
     def setTcpNoDelay(self, _is_on):  # noqa: N802
         pass
 
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def setsockopt(self, _level, _name, _value):
+        pass
+
 
 def connect(reactor):
     """Accept the connection that was requested last, and return it."""
@@ -110,7 +117,8 @@
 @pytest.mark.parametrize("is_opened", [True, False])
 def test_a_pool_reports_whether_the_connection_was_opened(is_opened):
     reactor = MemoryReactorClock()
-    pool = ConnectionPool(reactor, reactor.seconds, TIMEOUT_S, 1000)
+    limits = AnswerLimits(body_max_bytes=1000, open_max_bytes=1000)
+    pool = ConnectionPool(reactor, reactor.seconds, TIMEOUT_S, limits)
     connections = []
     pool.connect(ADDRESS, connections.append, lambda: connections.append(None))
     if is_opened:
--- a/burdockhitch/tests/test_exchange.py
+++ b/burdockhitch/tests/test_exchange.py
@@ -9,6 +9,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from burdockhitch.adapters.answer_limits import AnswerLimits, OpenAnswers
 from burdockhitch.adapters.exchange import (
     IDLE_TIMEOUT_MAX_S,
     HttpAnswer,
@@ -32,11 +33,17 @@
 
 
 class Transport(StringTransport):
-    """A string transport on which TCP_NODELAY can be set, without effect."""
+    """A string transport on which socket options can be set, without effect."""
 
     def setTcpNoDelay(self, _is_on):  # noqa: N802
         pass
 
+    def getHandle(self):  # noqa: N802
+        return self
+
+    def setsockopt(self, _level, _name, _value):
+        pass
+
 
 class Conversation:
     """A connection on which a request was sent, and the outcomes of its requests.
@@ -47,11 +54,11 @@
             it becomes idle.
     """
 
-    def __init__(self, method="GET", body=b"", max_bytes=1000):
+    def __init__(self, method="GET", body=b"", max_bytes=1000, open_answers=None):
         self.outcomes = []
         self.idle_timeouts_s = []
         self.connection = HttpConnection(
-            max_bytes,
+            open_answers or OpenAnswers(AnswerLimits(max_bytes, max_bytes)),
             lambda _connection, keep_s: self.idle_timeouts_s.append(keep_s),
             lambda _connection: None,
         )
