Bound unread bytes in the kernel; test endless answers beside a VM process

Bytes received and not read count for the memory of a VM, and the kernel held 1.09 MB of one connection on loopback after 4 MiB were read (128 KB without reads; it may grow to 33 MB here by tcp_rmem).

Cause: the kernel lets the receive buffer grow while a fast server sends.

The new stand-in behaviours send 12 kinds of bytes without end from a server process.

Ruled out: the deadline as the cause; it cancels every attempt, whatever arrives.

Why it works: SO_RCVBUF is set on each connection to a server or to another VM or the store, which turns the kernel's growth off.

--- a/burdockhitch/adapters/answer_limits.py
+++ b/burdockhitch/adapters/answer_limits.py
@@ -15,8 +15,9 @@
 FRAMING_PER_BODY_BYTE_MAX = 0.25
 INTERIM_ANSWERS_MAX = 16
 SKIPPED_ANSWERS_MAX = 4
-# Limits what the kernel holds of a connection; Linux doubles it for its own use.
-RECEIVE_BUFFER_BYTES = 128 * 1024
+# Limits what the kernel holds of a connection. Linux doubles it for its own use, and
+# would otherwise let it grow to megabytes while a fast server sends.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 # Larger than any answer of the store or of another VM.
 INTERNAL_ANSWER_MAX_BYTES = 16 * 1024 * 1024
 
--- a/burdockhitch/standins/server.py
+++ b/burdockhitch/standins/server.py
@@ -18,6 +18,7 @@
 from burdockhitch.clock import Clock
 from burdockhitch.platform import names
 from burdockhitch.problems import OUTCOME_NOT_RUN
+from burdockhitch.standins.endless import send_endless_answer
 
 STATUS_ERROR = 500
 STATUS_UNAVAILABLE = 503
@@ -37,6 +38,8 @@
         is_shedding: Whether every request gets 503, as from a draining server.
         cold_start_s: Seconds after the start during which requests take longer.
         cold_slowdown: Further factor on the service time during the cold start.
+        endless: Name in ``endless_answers`` of the bytes without end with which each
+            request is answered; empty for normal answers.
     """
 
     service_time_s: float
@@ -47,6 +50,7 @@
     is_shedding: bool
     cold_start_s: float
     cold_slowdown: float
+    endless: str
 
 
 class RunRecord(NamedTuple):
@@ -92,6 +96,8 @@
         self._started_s = clock.now().monotonic_s
         self.n_running_max = 0
         self.n_shed = 0
+        self.n_endless = 0
+        self.n_endless_open = 0
         self.records: list[RunRecord] = []
         self.behaviour = Behaviour(
             service_time_s=0.005,
@@ -102,6 +108,7 @@
             is_shedding=False,
             cold_start_s=0.0,
             cold_slowdown=10.0,
+            endless="",
         )
 
     @app.route("/standin/behaviour", methods=["PUT"])
@@ -112,11 +119,13 @@
 
     @app.route("/standin/records", methods=["GET"])
     def read_records(self, request: Any) -> bytes:
-        """Return the requests that ran, the most at once and how many were shed."""
+        """Return the requests that ran, and how many were at once, shed and endless."""
         document = {
             "records": [record._asdict() for record in self.records],
             "n_running_max": self.n_running_max,
             "n_shed": self.n_shed,
+            "n_endless": self.n_endless,
+            "n_endless_open": self.n_endless_open,
         }
         return msgspec.json.encode(document)
 
@@ -140,6 +149,8 @@
         if target_name and target_name != self._name:
             request.setResponseCode(STATUS_MISDIRECTED)
             return b""
+        if self.behaviour["endless"]:
+            return self._answer_without_end(request)
         request.setHeader(names.REQUEST_ID, request.getHeader(names.REQUEST_ID) or "")
         self._n_running += 1
         self.n_running_max = max(self.n_running_max, self._n_running)
@@ -151,6 +162,19 @@
         request.notifyFinish().addBoth(self._end_request, timer)
         return answer
 
+    def _answer_without_end(self, request: Any) -> Deferred[bytes]:
+        """Send bytes until the other side closes the connection."""
+
+        def end_answer(_result: Any) -> None:
+            self.n_endless_open -= 1
+
+        self._record_request(request, request.content.read())
+        self.n_endless += 1
+        self.n_endless_open += 1
+        request.notifyFinish().addBoth(end_answer)
+        send_endless_answer(self._reactor, request, self.behaviour["endless"])
+        return Deferred()
+
     def _current_service_time_s(self) -> float:
         behaviour = self.behaviour
         time_s = behaviour["service_time_s"] * behaviour["slowdown"]
--- a/burdockhitch/tests/test_direct_requests.py
+++ b/burdockhitch/tests/test_direct_requests.py
@@ -13,6 +13,7 @@
 from burdockhitch.systems.direct.server_estimates import (
     FAILURE,
     OVERDUE,
+    P_FAILING_STATIONARY,
     SUCCESS,
     apply_observation,
 )
@@ -129,6 +130,24 @@
     assert not len(fleet.worlds["vm-0"].requests)
 
 
+@pytest.mark.parametrize("is_caller_gone", [False, True])
+@pytest.mark.parametrize("route", [IDEMPOTENT, AT_MOST_ONCE])
+def test_an_attempt_that_never_ends_is_cancelled_by_the_deadline(route, is_caller_gone):
+    fleet = start_vm_with_servers(["mute"], **route, timeout_s=2.0)
+    world = fleet.worlds["vm-0"]
+    connection = fleet.send("vm-0")
+    fleet.run(0.02)
+    if is_caller_gone:
+        fleet.post("vm-0", events.CallerDisconnected(connection))
+    fleet.run(2.0)
+    assert len(fleet.issued_attempts) >= 1
+    assert len(fleet.cancelled_attempt_ids) == len(fleet.issued_attempts)
+    assert not len(world.attempts) and not len(world.requests)
+    is_given_up_at_once = is_caller_gone and route is IDEMPOTENT
+    is_failing = world.server_estimates.fetch("1").p_failing > P_FAILING_STATIONARY
+    assert is_failing != is_given_up_at_once
+
+
 ROUTES = (
     make_route("short", prefix="/a/"),
     make_route("long", prefix="/a/b/"),
--- a/burdockhitch/tests/test_endless_answers.py
+++ b/burdockhitch/tests/test_endless_answers.py
@@ -4,6 +4,11 @@
 are not affected.
 """
 
+import fcntl
+import socket
+import struct
+import termios
+import time
 import tracemalloc
 
 import pytest
@@ -12,6 +17,7 @@
 from burdockhitch.adapters.answer_limits import (
     FRAMING_MAX_BYTES,
     HEAD_MAX_BYTES,
+    RECEIVE_BUFFER_BYTES,
     AnswerLimits,
     OpenAnswers,
 )
@@ -25,6 +31,7 @@
     HEAD,
     OTHER_ANSWER,
     Conversation,
+    Transport,
 )
 
 BODY_MAX_BYTES = 64 * 1024
@@ -209,3 +216,45 @@
     assert whole.outcome() == (200, b"ab")
     assert n_held_max <= 4 * LIMITS.open_max_bytes
     assert open_answers.n_bytes == 0
+
+
+class SocketTransport(Transport):
+    """A string transport with the options of a real socket."""
+
+    def __init__(self, handle):
+        super().__init__()
+        self._handle = handle
+
+    def getHandle(self):  # noqa: N802
+        return self._handle
+
+
+def send_until_full(server_socket, client_socket, n_read):
+    """Send without end; read ``n_read`` bytes, then none until no more can be sent."""
+    server_socket.setblocking(False)
+    n_unread = n_read
+    full_since_s = time.monotonic()
+    while time.monotonic() - full_since_s < 0.2:
+        try:
+            server_socket.send(b"a" * READ_MAX_BYTES)
+            full_since_s = time.monotonic()
+        except BlockingIOError:
+            if n_unread > 0:
+                n_unread -= len(client_socket.recv(READ_MAX_BYTES))
+                full_since_s = time.monotonic()
+
+
+@pytest.mark.parametrize("n_read", [0, 16 * 1024 * 1024])
+def test_the_kernel_holds_few_unread_bytes_of_a_server_that_sends_without_end(n_read):
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        client_socket = socket.create_connection(listener.getsockname())
+        server_socket, _ = listener.accept()
+    with client_socket, server_socket:
+        connection = Conversation(open_answers=OpenAnswers(LIMITS)).connection
+        connection.makeConnection(SocketTransport(client_socket))
+        send_until_full(server_socket, client_socket, n_read)
+        answer = fcntl.ioctl(client_socket, termios.FIONREAD, b"\0" * 4)
+        (n_unread,) = struct.unpack("i", answer)
+    assert n_unread <= 2 * RECEIVE_BUFFER_BYTES
--- a/burdockhitch/tests/test_settings.py
+++ b/burdockhitch/tests/test_settings.py
@@ -46,6 +46,12 @@
             "less than probe_period",
         ),
         ("[backend_servers]\nhold = 1h\n", "backend_servers", "hold", "hold_max"),
+        (
+            "[backend_servers]\nanswer_max = 33MiB\n",
+            "backend_servers",
+            "answer_max",
+            "open_answers_max",
+        ),
         ("[fleet]\ncurve_secret_key = x\n", "fleet", "curve_secret_key", "CURVE"),
     ],
 )
