Enforce the configuration's limit of callers' bodies

What callers saw: a body above maxBodyBytes was served.

Cause: the limit was decoded but nothing used it; the only limit of a body was 64 MiB, of which few fit beside each other into a VM of 200 MB.

Evidence: the new test got 200 for a body of one byte above the limit, with and without a length, and now gets 413; no server runs the request. The other tests of test_platform_processes.py pass.

Ruled out: refusing in the systems; the body would be in memory by then.

Why it works: the limit in force is read when a body starts. Without a configuration it is 8 MiB, since such requests are refused as not ready.

--- a/burdockhitch/platform/callers.py
+++ b/burdockhitch/platform/callers.py
@@ -19,7 +19,8 @@
 from burdockhitch.systems.direct.membership import is_leaving
 from burdockhitch.tables.vms import VmStatus
 
-BODY_MAX_BYTES = 64 * 1024 * 1024
+# In force only while this VM holds no configuration, which sets the limit otherwise.
+BODY_MAX_BYTES = 8 * 1024 * 1024
 # Larger than any limit that a configuration may set, so that only the configured
 # limit takes effect.
 HEADER_MAX_BYTES = 256 * 1024
@@ -48,14 +49,29 @@
 
 
 class CallerSite(Site):
-    """Site that keeps track of the open connections of callers."""
+    """Site that keeps track of the open connections of callers.
+
+    Args:
+        process: Context with the open requests and the ticker.
+    """
 
     protocol = CallerChannel
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(self, process: PlatformProcess) -> None:
+        super().__init__(
+            CallerResource(process),
+            requestFactory=CallerHttpRequest,
+            timeout=IDLE_TIMEOUT_S,
+        )
+        self._world = process.world
         self.open_channels: set[CallerChannel] = set()
 
+    def read_body_max_bytes(self) -> int:
+        """Return the size limit of a body by the configuration in force."""
+        for configuration in self._world.configurations:
+            return configuration.body_max_bytes
+        return BODY_MAX_BYTES
+
     def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
         for channel in list(self.open_channels):
@@ -64,12 +80,16 @@
 
 
 class CallerHttpRequest(BoundedRequest):
-    """A caller's request, with its body limited to ``BODY_MAX_BYTES``."""
+    """A caller's request, with its body limited by the configuration."""
 
-    body_max_bytes = BODY_MAX_BYTES
     # Keeps Twisted from adding a Content-Type to answers that have none.
     defaultContentType = None
 
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Take the limit in force when the body starts."""
+        self.body_max_bytes = self.channel.site.read_body_max_bytes()
+        super().gotLength(length)
+
 
 class CallerResource(Resource):
     """Turns callers' requests into events.
@@ -244,11 +264,7 @@
 
 def make_caller_site(process: PlatformProcess) -> CallerSite:
     """Return the site for the callers' listening port."""
-    return CallerSite(
-        CallerResource(process),
-        requestFactory=CallerHttpRequest,
-        timeout=IDLE_TIMEOUT_S,
-    )
+    return CallerSite(process)
 
 
 def make_directory_site(process: PlatformProcess) -> Site:
--- a/burdockhitch/tests/test_platform_processes.py
+++ b/burdockhitch/tests/test_platform_processes.py
@@ -13,6 +13,7 @@
 
 WAIT_MAX_S = 10.0
 FAULT_S = 1.5
+BODY_MAX_BYTES = platform.make_configuration(1)["limits"]["maxBodyBytes"]
 CONFIGURATION_VERSIONS = count(2)
 
 
@@ -60,6 +61,27 @@
     assert reply.status == 404
 
 
+@pytest.mark.parametrize(
+    ("n_bytes", "status"), [(0, 200), (BODY_MAX_BYTES, 200), (BODY_MAX_BYTES + 1, 413)]
+)
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_bodies_above_the_limit_of_the_configuration_are_refused_and_not_run(
+    fleet, n_bytes, status, is_chunked
+):
+    request_id = f"body-{n_bytes}-{is_chunked}"
+    headers = {"Host": platform.HOST, "Request-Id": request_id, "Deadline-Ms": "4000"}
+    body = b"x" * n_bytes
+    reply = tool.send_request(
+        fleet.vms[0].caller_address,
+        "POST",
+        "/holds/1",
+        iter([body]) if is_chunked and body else body,
+        headers,
+    )
+    assert reply.status == status
+    assert count_runs(fleet)[request_id] == (status == 200)
+
+
 @pytest.mark.parametrize("vm_number", [0, 1, 2])
 def test_every_vm_serves_metrics_and_state(fleet, vm_number):
     vm = fleet.vms[vm_number]
