Log bytes that belong to no answer; test endless answers of the store and of VMs

What callers saw: nothing. Operators could not see why a connection was closed for bytes after an answer, on an idle connection or of another protocol.

Cause: the connection was closed without a log line.

Why it works: each rejection passes through one function that logs it.

--- a/burdockhitch/adapters/exchange.py
+++ b/burdockhitch/adapters/exchange.py
@@ -148,6 +148,10 @@
 
     def reject(self, detail: str) -> None:
         """Log why the answer is given up, close the connection and report a failure."""
+        self._log_rejection(detail)
+        self._fail(AttemptFailure.BROKEN)
+
+    def _log_rejection(self, detail: str) -> None:
         transport: Any = self.transport
         peer = transport.getPeer()
         fields = {
@@ -156,7 +160,6 @@
             "detail": detail[:DETAIL_MAX_CHARACTERS],
         }
         log.write_event("WARNING", "answer_rejected", fields)
-        self._fail(AttemptFailure.BROKEN)
 
     def _release_memory(self) -> None:
         """Drop all that was received, since the closed connection may live on.
@@ -185,6 +188,7 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse a part of the answer; abort if no request is in progress."""
         if self._request is None:
+            self._log_rejection("bytes without a request")
             # The connection is reported lost only later, and must not be reused before.
             self._on_disconnected(self)
             self.abort()
@@ -243,7 +247,9 @@
             event = self._codec.next_event()
             if event is h11.NEED_DATA:
                 return
-            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            if event is h11.PAUSED:
+                raise AnswerLimitError("bytes of another protocol")
+            if isinstance(event, h11.ConnectionClosed):
                 self._fail(AttemptFailure.BROKEN)
             elif isinstance(event, h11.InformationalResponse):
                 self._n_interim += 1
@@ -320,10 +326,13 @@
         read the body, so the connection is closed then, too.
         """
         request = self._request
+        has_trailing_data = bool(self._codec.trailing_data[0])
+        if has_trailing_data:
+            self._log_rejection("bytes after the answer")
         is_fully_exchanged = (
             self._codec.our_state is h11.DONE
             and self._codec.their_state is h11.DONE
-            and not self._codec.trailing_data[0]
+            and not has_trailing_data
         )
         may_have_unread_body = (
             self._answer_head.status_code >= 400 and request and request.body
--- a/burdockhitch/tests/test_connections.py
+++ b/burdockhitch/tests/test_connections.py
@@ -5,7 +5,11 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
-from burdockhitch.adapters.answer_limits import AnswerLimits
+from burdockhitch.adapters.answer_limits import (
+    HEAD_MAX_BYTES,
+    INTERNAL_ANSWER_MAX_BYTES,
+    AnswerLimits,
+)
 from burdockhitch.adapters.connections import (
     ConnectionPool,
     make_internal_request,
@@ -16,6 +20,7 @@
 
 ADDRESS = "192.0.2.1:80"
 TIMEOUT_S = 2.0
+READ_BYTES = 64 * 1024
 COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
 
 
@@ -92,6 +97,34 @@
         assert result.type is end
 
 
+@pytest.mark.parametrize(
+    ("first_bytes", "endless_bytes", "n_bytes_max"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"a", INTERNAL_ANSWER_MAX_BYTES),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", b"a", 0),
+        (b"HTTP/1.1 200 OK\r\n", b"X: a\r\n", HEAD_MAX_BYTES),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n", HEAD_MAX_BYTES),
+    ],
+    ids=["body", "announced_length", "head", "interim_answers"],
+)
+def test_an_endless_answer_of_the_store_or_a_vm_fails_within_its_limit(
+    first_bytes, endless_bytes, n_bytes_max
+):
+    reactor = MemoryReactorClock()
+    results = []
+    request = make_internal_request(ADDRESS, "GET", "/rows")
+    send_internal_request(reactor, ADDRESS, request, TIMEOUT_S).addBoth(results.append)
+    connection = connect(reactor)
+    connection.dataReceived(first_bytes + endless_bytes)
+    piece = endless_bytes * (READ_BYTES // len(endless_bytes))
+    n_fed = 0
+    while not connection.transport.disconnecting and n_fed <= n_bytes_max + READ_BYTES:
+        connection.dataReceived(piece)
+        n_fed += len(piece)
+    assert connection.transport.disconnecting
+    assert [result.type for result in results] == [ExchangeFailedError]
+
+
 @pytest.mark.parametrize(
     ("body", "expected"),
     [
--- a/burdockhitch/tests/test_endless_processes.py
+++ b/burdockhitch/tests/test_endless_processes.py
@@ -88,7 +88,7 @@
     )
 
 
-@pytest.mark.parametrize(("server_number", "name"), enumerate(endless_answers))
+@pytest.mark.parametrize(("server_number", "name"), list(enumerate(endless_answers)))
 def test_a_vm_serves_others_beside_a_server_that_sends_bytes_without_end(
     fleet, resident_bytes_before, server_number, name
 ):
