Avoid a server whose answers are lost on the way to this VM only

Cause: an overdue answer was always held against the server, on all VMs. Successes that others reported then made it proven again, so the VM soon sent there once more.

Evidence: the new test (4 VMs, 4 servers, answers of one server lost at one VM) failed before in 8 of 10 cases: the others used the server too little, or the VM tried it again within less than 4 s. The test that repeated reports of one VM count once failed before in 1 of 4 cases.

Ruled out: withholding the first report too, as the other VMs learn of a hanging or slow server from it; a server that answers no VM is still suspect on all VMs (test, passed before too).

Why it works: an answer is missing here, and another VM has got one since; both together are explained by the path only. Queues don't count: the server must not have been busy by this VM's estimate. A receiver counts overdue answers that one VM reports in a row once, since they are not independent.

Slow servers at the peak may be avoided by single VMs for 4 s, and are reported less often.

--- a/burdockhitch/systems/direct/answers.py
+++ b/burdockhitch/systems/direct/answers.py
@@ -13,7 +13,11 @@
 from burdockhitch.systems.direct.membership import is_leaving
 from burdockhitch.systems.direct.reports import report_observation
 from burdockhitch.systems.direct.run_times import record_run_time
-from burdockhitch.systems.direct.selection import find_candidates, would_miss_deadline
+from burdockhitch.systems.direct.selection import (
+    find_candidates,
+    mean_run_time_s,
+    would_miss_deadline,
+)
 from burdockhitch.systems.endings import (
     advance_request,
     answer_request,
@@ -41,6 +45,8 @@
 # Times for which this VM avoids a server that rejected a request.
 SHED_AVOID_S = 0.15
 MISDIRECTED_AVOID_S = 5.0
+# An answer that takes this multiple of the mean run time is unusual.
+UNANSWERED_FACTOR = 2.0
 # Limits all sends of a request, since sends that reached no server don't count
 # against the route's limit of tries.
 N_SENDS_MAX = 6
@@ -96,6 +102,7 @@
         attempt = _end_attempt(world, event.attempt_id)
         if attempt is None:
             continue
+        server_estimates.record_answered(world, attempt.server_id)
         is_error = event.answer.status in SERVER_ERROR_STATUSES
         kind = server_estimates.FAILURE if is_error else server_estimates.SUCCESS
         report_observation(world, attempt.server_id, kind, now)
@@ -140,6 +147,8 @@
     world: World, attempt: AttemptRow, failure: AttemptFailure, now: Instant
 ) -> None:
     """Avoid the server for a while, or count the failure as evidence against it."""
+    if failure in (AttemptFailure.SHED, AttemptFailure.MISDIRECTED):
+        server_estimates.record_answered(world, attempt.server_id)
     if failure is AttemptFailure.SHED:
         server_estimates.avoid_server(world, attempt.server_id, SHED_AVOID_S, now)
     elif failure is AttemptFailure.MISDIRECTED:
@@ -194,6 +203,32 @@
         fail_request(world, row, failure, RETRY_AFTER_S, now)
 
 
+def _is_unexplained(world: World, attempt: AttemptRow, now: Instant) -> bool:
+    """Return whether neither a queue nor a short deadline explains a missing answer."""
+    run_s = mean_run_time_s(world, attempt.service)
+    elapsed_s = now.monotonic_s - attempt.started_at_s
+    return attempt.wait_s < run_s and elapsed_s >= UNANSWERED_FACTOR * run_s
+
+
+def _record_overdue(
+    world: World, attempt: AttemptRow, is_first: bool, now: Instant
+) -> None:
+    """Count a missing answer as evidence, on all VMs unless only this one misses it.
+
+    Args:
+        world: Tables of this VM.
+        attempt: Attempt without an answer.
+        is_first: Whether it has not been recorded before.
+        now: Current time.
+    """
+    if _is_unexplained(world, attempt, now) and server_estimates.record_unanswered(
+        world, attempt.server_id, is_first, now
+    ):
+        log_event(world, "WARNING", "answers_lost_here", server=attempt.server_id)
+        return
+    report_observation(world, attempt.server_id, server_estimates.OVERDUE, now)
+
+
 @timer_handlers(TimerKind.OVERDUE)
 def handle_overdue_attempt(world: World, attempt_id: str, now: Instant) -> None:
     """Report an overdue answer, and retry an idempotent request elsewhere.
@@ -204,7 +239,7 @@
     attempt = world.attempts.get(int(attempt_id))
     if attempt is None:
         return
-    report_observation(world, attempt.server_id, server_estimates.OVERDUE, now)
+    _record_overdue(world, attempt, True, now)
     row = world.requests.get(attempt.request_id)
     if row is None or not row.is_idempotent or is_leaving(world):
         return
@@ -229,7 +264,8 @@
         refuse_request(world, row, refusal, now)
         return
     attempt = world.attempts.fetch(row.attempt_id)
+    is_first = (TimerKind.OVERDUE, str(attempt.attempt_id)) in world.timers
     stop_timer(world, TimerKind.OVERDUE, str(attempt.attempt_id))
-    report_observation(world, attempt.server_id, server_estimates.OVERDUE, now)
+    _record_overdue(world, attempt, is_first, now)
     detail = "the deadline passed before the backend server answered"
     end_with_unknown_outcome(world, row, make_refusal(AnswerLostError, detail), now)
--- a/burdockhitch/systems/direct/recent_successes.py
+++ b/burdockhitch/systems/direct/recent_successes.py
@@ -6,7 +6,7 @@
 """
 
 from burdockhitch.clock import Instant
-from burdockhitch.systems.direct.server_estimates import SUCCESS, apply_observation
+from burdockhitch.systems.direct.server_estimates import record_peer_answered
 from burdockhitch.tables.server_estimates import RecentSuccessRow
 from burdockhitch.world import World
 
@@ -34,7 +34,7 @@
         is_from_other_zone: Whether they come from another zone.
     """
     for server_id in server_ids:
-        apply_observation(world, server_id, SUCCESS, now)
+        record_peer_answered(world, server_id, now)
         if not is_from_other_zone:
             row = RecentSuccessRow(server_id, now.monotonic_s, is_reported_in_zone=True)
             world.recent_successes.put(row)
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -14,9 +14,12 @@
     record_peer_successes,
 )
 from burdockhitch.systems.direct.server_estimates import (
+    OVERDUE,
     P_FAILING_SUSPECT,
     SUCCESS,
     apply_observation,
+    record_peer_answered,
+    record_peer_overdue,
 )
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import message_handlers, timer_handlers
@@ -234,6 +237,17 @@
         _replace_loads(world, vm_id, loads)
 
 
+def _apply_peer_observation(
+    world: World, sender_vm_id: str, observation: Observation, now: Instant
+) -> None:
+    if observation.kind == SUCCESS:
+        record_peer_answered(world, observation.server_id, now)
+    elif observation.kind == OVERDUE:
+        record_peer_overdue(world, observation.server_id, sender_vm_id, now)
+    else:
+        apply_observation(world, observation.server_id, observation.kind, now)
+
+
 @message_handlers("report")
 def handle_report(
     world: World, sender_vm_id: str, report: Report, now: Instant
@@ -251,7 +265,7 @@
         )
     )
     for observation in report.observations:
-        apply_observation(world, observation.server_id, observation.kind, now)
+        _apply_peer_observation(world, sender_vm_id, observation, now)
     record_peer_successes(
         world, report.succeeded_server_ids, now, is_from_other_zone=False
     )
--- a/burdockhitch/systems/direct/server_estimates.py
+++ b/burdockhitch/systems/direct/server_estimates.py
@@ -133,6 +133,66 @@
     )
 
 
+def record_unanswered(
+    world: World, server_id: str, is_first: bool, now: Instant
+) -> bool:
+    """Record an overdue attempt of this VM, and avoid the server if it answers others.
+
+    Args:
+        world: Tables of this VM.
+        server_id: Backend server.
+        is_first: Whether the attempt has not been recorded before.
+        now: Current time.
+
+    Returns:
+        Whether the answers are lost on the way to this VM: since this VM last recorded
+        one as overdue, without an answer in between, another VM got an answer.
+    """
+    row = world.server_estimates.get(server_id)
+    if row is None:
+        return False
+    is_lost_here = row.n_unanswered > 0 and row.peer_answered_at_s > row.unanswered_at_s
+    if is_first:
+        row = row._replace(
+            n_unanswered=row.n_unanswered + 1, unanswered_at_s=now.monotonic_s
+        )
+        world.server_estimates.replace(row)
+    if is_lost_here:
+        # Each new try costs the outcome of a request.
+        avoid_server(world, server_id, AVOID_MAX_S, now)
+    return is_lost_here
+
+
+def record_answered(world: World, server_id: str) -> None:
+    """Record that an answer of a server reached this VM, whatever its status."""
+    row = world.server_estimates.get(server_id)
+    if row is not None and row.n_unanswered:
+        world.server_estimates.replace(row._replace(n_unanswered=0))
+
+
+def record_peer_answered(world: World, server_id: str, now: Instant) -> None:
+    """Apply a success of a server that another VM reported."""
+    apply_observation(world, server_id, SUCCESS, now)
+    row = world.server_estimates.get(server_id)
+    if row is not None:
+        world.server_estimates.replace(row._replace(peer_answered_at_s=now.monotonic_s))
+
+
+def record_peer_overdue(
+    world: World, server_id: str, reporter_id: str, now: Instant
+) -> None:
+    """Apply an overdue answer of a server that another VM reported.
+
+    If the same VM reported the last one too, it is ignored: only that VM may miss the
+    answers.
+    """
+    row = world.server_estimates.get(server_id)
+    if row is None or row.overdue_reporter_id == reporter_id:
+        return
+    world.server_estimates.replace(row._replace(overdue_reporter_id=reporter_id))
+    apply_observation(world, server_id, OVERDUE, now)
+
+
 def avoid_server(world: World, server_id: str, duration_s: float, now: Instant) -> None:
     """Avoid a server for the given time, unless it is already avoided for longer."""
     row = world.server_estimates.get(server_id)
--- a/burdockhitch/tables/server_estimates.py
+++ b/burdockhitch/tables/server_estimates.py
@@ -22,6 +22,13 @@
             because it could not connect or the server rejected a request; other
             VMs may still reach the server. In the past, or 0, if it is not avoided.
         n_connect_failures: Consecutive attempts of this VM that could not connect.
+        n_unanswered: Consecutive attempts of this VM that became overdue although the
+            server was not busy.
+        unanswered_at_s: Monotonic time at which the last of them became overdue.
+        peer_answered_at_s: Monotonic time at which another VM last reported that the
+            server had answered it.
+        overdue_reporter_id: VM that last reported to this one that an answer of the
+            server was overdue; empty for none.
         latency_ratio: Moving average, at ``latency_ratio_updated_at_s``, of the
             server's run time relative to the mean of its service; from then on it
             decays towards 1.
@@ -37,6 +44,10 @@
     updated_at_s: float
     avoided_until_s: float = 0.0
     n_connect_failures: int = 0
+    n_unanswered: int = 0
+    unanswered_at_s: float = 0.0
+    peer_answered_at_s: float = 0.0
+    overdue_reporter_id: str = ""
     latency_ratio: float = 1.0
     latency_ratio_updated_at_s: float = 0.0
     warm_up_until_s: float = 0.0
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -108,6 +108,8 @@
     behaviour = fleet.behaviour_by_server[command.server_id]
     if (vm_id, command.server_id) in fleet.blocked_links:
         behaviour = "unreachable"
+    elif (vm_id, command.server_id) in fleet.lost_answers:
+        behaviour = "mute"
     delay_s, is_executed, outcome = behaviours[behaviour](fleet, command)
     if is_executed:
         fleet.executed_attempts.append(attempt)
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -106,6 +106,7 @@
         server_wait_s: Seconds that a request queues at a server, by server ID.
         blocked_links: Pairs (VM, VM or server) between which nothing gets through in
             this direction.
+        lost_answers: Pairs (VM, server) whose requests arrive but whose answers don't.
         loss_ratio: Probability that a message between VMs is lost.
         executed_attempts: Attempts that a server executed.
         issued_attempts: Attempts that VMs issued to servers, also rejected and
@@ -124,6 +125,7 @@
         self.behaviour_by_server: dict[str, str] = {}
         self.server_wait_s: dict[str, float] = {}
         self.blocked_links: set[tuple[str, str]] = set()
+        self.lost_answers: set[tuple[str, str]] = set()
         self.loss_ratio = 0.0
         self.executed_attempts: list[IssuedAttempt] = []
         self.issued_attempts: list[IssuedAttempt] = []
--- a/burdockhitch/tests/test_direct_requests.py
+++ b/burdockhitch/tests/test_direct_requests.py
@@ -1,20 +1,24 @@
 """Tests how direct mode sends, retries, refuses and answers requests."""
 
 from collections import Counter
+from itertools import pairwise
 
 import pytest
 
 from burdockhitch import events
-from burdockhitch.direct_messages import ServerLoad
+from burdockhitch.direct_messages import Observation, Report, ServerLoad
 from burdockhitch.systems.direct.reports import (
     replace_reported_loads,
     report_observation,
 )
 from burdockhitch.systems.direct.server_estimates import (
+    AVOID_MAX_S,
     FAILURE,
     OVERDUE,
+    P_FAILING_SUSPECT,
     SUCCESS,
     apply_observation,
+    p_failing,
 )
 from burdockhitch.tables.prefix_routes import RouteTarget
 from burdockhitch.tests.direct_fakes import (
@@ -346,3 +350,83 @@
         fleet.send("vm-0")
         fleet.run(2.0)
     assert {fleet.status(number) for number in fleet.caller_replies} == {"200"}
+
+
+def send_from_each_vm(fleet, n_rounds, pause_s):
+    """Send a request from each VM in turn; return the VM of each request by its ID."""
+    vm_by_request = {}
+    for _ in range(n_rounds):
+        for vm_id in fleet.worlds:
+            vm_by_request[f"id-{fleet.send(vm_id)}"] = vm_id
+            fleet.run(pause_s)
+    return vm_by_request
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("route", [IDEMPOTENT, AT_MOST_ONCE])
+def test_a_vm_that_loses_the_answers_of_one_server_keeps_away_from_it_alone(
+    route, seed
+):
+    fleet = start_fleet(n_vms=4, n_servers=4, seed=seed)
+    fleet.configure(2, make_route(**route))
+    send_from_each_vm(fleet, 20, 0.1)
+    fleet.lost_answers.add(("vm-0", "1"))
+    fleet.issued_attempts.clear()
+    n_rounds = 60
+    vm_by_request = send_from_each_vm(fleet, n_rounds, 0.15)
+    attempts = [
+        (vm_by_request[attempt.request_id], attempt.at_s)
+        for attempt in fleet.issued_attempts
+        if attempt.server_id == "1"
+    ]
+    times_s = [at_s for vm_id, at_s in attempts if vm_id == "vm-0"]
+    # Two requests, and then one whenever it tries the server again.
+    pauses_s = [after - before for before, after in pairwise(times_s[1:])]
+    assert all(pause_s >= AVOID_MAX_S for pause_s in pauses_s)
+    # Three others, each of which sends about a quarter of its requests there.
+    assert len(attempts) - len(times_s) >= 0.6 * 3 * n_rounds / 4
+    now = fleet.clock.now()
+    for vm_id in ("vm-1", "vm-2", "vm-3"):
+        estimate = fleet.worlds[vm_id].server_estimates.fetch("1")
+        assert p_failing(estimate, now) < P_FAILING_SUSPECT
+
+
+@pytest.mark.parametrize("route", [IDEMPOTENT, AT_MOST_ONCE])
+def test_a_server_that_answers_no_vm_is_suspect_on_all(route):
+    fleet = start_fleet(n_vms=4, n_servers=4)
+    fleet.configure(2, make_route(**route))
+    send_from_each_vm(fleet, 20, 0.1)
+    fleet.behaviour_by_server["1"] = "mute"
+    # So long that no success from before is reported any more.
+    fleet.run(2.0)
+    fleet.issued_attempts.clear()
+    while "1" not in {attempt.server_id for attempt in fleet.issued_attempts}:
+        send_from_each_vm(fleet, 1, 0.15)
+    fleet.run(0.5)
+    now = fleet.clock.now()
+    for world in fleet.worlds.values():
+        assert p_failing(world.server_estimates.fetch("1"), now) >= P_FAILING_SUSPECT
+    assert "answers_lost_here" not in {line.event for _, line in fleet.logs}
+
+
+@pytest.mark.parametrize(
+    ("reporters", "n_counted"),
+    [
+        (["vm-1"], 1),
+        (["vm-1", "vm-1", "vm-1"], 1),
+        (["vm-1", "vm-2"], 2),
+        (["vm-1", "vm-1", "vm-2", "vm-1"], 3),
+    ],
+)
+def test_repeated_overdue_reports_of_one_vm_count_once(reporters, n_counted):
+    fleet = start_fleet(n_vms=3, n_servers=2)
+    world = fleet.worlds["vm-0"]
+    now = fleet.clock.now()
+    for reporter in reporters:
+        report = Report((Observation("1", OVERDUE),), None)
+        fleet.post("vm-0", events.VmMessageArrived(reporter, report))
+    for _ in range(n_counted):
+        apply_observation(world, "2", OVERDUE, now)
+    assert p_failing(world.server_estimates.fetch("1"), now) == p_failing(
+        world.server_estimates.fetch("2"), now
+    )
