--- a/burdockhitch/systems/direct/zone_reports.py
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -15,12 +15,12 @@
 )
 from burdockhitch.systems.direct.registry_reads import better_ranked_vms, rank_in_zone
 from burdockhitch.systems.direct.reports import (
+    apply_peer_observation,
     is_any_service_busy,
     live_peers,
     replace_reported_loads,
     same_zone_loads,
 )
-from burdockhitch.systems.direct.server_estimates import apply_observation
 from burdockhitch.systems.timing import message_handlers, timer_handlers
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmRow, VmStatus
@@ -85,7 +85,7 @@
         start_timer(world, TimerKind.ZONE_REPORT, SEND_MEMBERS, due_s)
         _send_members(world, now)
     else:
-        replace_reported_loads(world, _loads_key(subject), ())
+        replace_reported_loads(world, _zone_key(subject), ())
 
 
 def _send_report(world: World, now: Instant) -> None:
@@ -115,8 +115,8 @@
     _send_to_other_zones(world, ZoneReport(zone, None, members=members))
 
 
-def _loads_key(zone: str) -> str:
-    """Return the key of a zone's loads where loads are stored by VM."""
+def _zone_key(zone: str) -> str:
+    """Return the key of a zone where loads and reporters are stored by VM."""
     return f"zone {zone}"
 
 
@@ -147,12 +147,12 @@
 
 def _apply_report(world: World, report: ZoneReport, now: Instant) -> None:
     for observation in report.observations:
-        apply_observation(world, observation.server_id, observation.kind, now)
+        apply_peer_observation(world, _zone_key(report.zone), observation, now)
     record_peer_successes(
         world, report.succeeded_server_ids, now, is_from_other_zone=True
     )
     if report.loads is not None:
-        replace_reported_loads(world, _loads_key(report.zone), report.loads)
+        replace_reported_loads(world, _zone_key(report.zone), report.loads)
         due_s = now.monotonic_s + ZONE_LOADS_EXPIRY_S
         start_timer(world, TimerKind.ZONE_REPORT, report.zone, due_s)
     if report.members:
