Reproduce late registry changes in a zone whose VMs all copy from one

Callers of large deployments got 404 for routes that existed, and requests went to drained servers or not to new ones, for seconds after a series of changes.

Cause: each change makes every other VM of a zone copy the whole list of servers and of VMs, and the whole configuration if it is newer, over the link of the zone's only reader. A copy that takes over 1 s is given up; its bytes are spent, and it starts again.

The fake of a copy now encodes it as the adapter does, queues it on the link of its source and fails it at the adapter's time limit. The link has no limit unless a test sets one. The new test has a zone of 37 VMs of 114, 273 servers and links of 10 Mbit/s.

It fails on this code: the last VM applies the last of 82 new servers after 3.15 s, a configuration of 210 routes after that series after 5.25 s, a drain after it after 3.15 s, and a single configuration of 1,400 routes after 2.15 s; the bound is 2 s for each. Ruled out by trials: zones of 26 VMs need 0.8 to 1.8 s for similar changes, and a VM list without the other zones' VMs hides it too.

--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -52,12 +52,22 @@
             _query_version(request, b"configuration"),
             _query_version(request, b"servers"),
         )
-        body = _encoder.encode(snapshot)
+        body = encode_snapshot(snapshot)
         count(self._world, "snapshots_served")
         count(self._world, "snapshot_bytes_sent", n_events=len(body))
         return body
 
 
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the body of an answer with a snapshot."""
+    return _encoder.encode(snapshot)
+
+
+def decode_snapshot(body: bytes) -> Snapshot:
+    """Return the snapshot of an answer's body."""
+    return _decoder.decode(body)
+
+
 def _admin_resource(world: World) -> Any:
     # Imported on first use: these libraries take a fifth of the start time, and few
     # VMs get requests from operators.
@@ -86,7 +96,7 @@
     def post_snapshot(answer: HttpAnswer) -> None:
         if answer.status != STATUS_OK:
             raise SnapshotError(str(answer.status))
-        snapshot = _decoder.decode(answer.body)
+        snapshot = decode_snapshot(answer.body)
         process.ticker.post(events.SnapshotRead(command.operation_id, None, snapshot))
 
     def post_failure(failure: Failure) -> None:
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -10,9 +10,18 @@
 from typing import Any, NamedTuple
 
 from burdockhitch import events
-from burdockhitch.errors import PlatformHistoryGoneError, PlatformUnavailableError
+from burdockhitch.errors import (
+    ExchangeFailedError,
+    PlatformHistoryGoneError,
+    PlatformUnavailableError,
+)
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import Answer
+from burdockhitch.platform.peers import (
+    SNAPSHOT_TIMEOUT_S,
+    decode_snapshot,
+    encode_snapshot,
+)
 from burdockhitch.registry import Registry
 from burdockhitch.systems.direct.snapshots import make_snapshot
 from burdockhitch.tables.registry_views import RegistryPart
@@ -198,17 +207,32 @@
 
 @handlers("ReadSnapshot")
 def read_snapshot(fleet, vm_id, command):
-    """Return a snapshot of the VM at the admin address, or an unavailable error."""
-    snapshot = None
+    """Return a snapshot of the VM at the admin address, or an unavailable error.
+
+    Copies from one VM use its link one after another. One that would take longer than
+    the time limit fails at that limit, but still uses the link for its whole size.
+    """
+    body = None
+    ends_at_s = fleet.clock.elapsed_s
     for other_id, world in fleet.worlds.items():
         is_source = world.settings.vm.admin_address == command.admin_address
         if is_source and (vm_id, other_id) not in fleet.blocked_links:
-            snapshot = make_snapshot(
-                world, command.configuration_version, command.servers_version
+            body = encode_snapshot(
+                make_snapshot(
+                    world, command.configuration_version, command.servers_version
+                )
             )
-    error = None if snapshot else PlatformUnavailableError
-    event = events.SnapshotRead(command.operation_id, error, snapshot)
-    fleet.later(2 * MESSAGE_DELAY_S, lambda: fleet.post(vm_id, event))
+            ends_at_s = fleet.occupy_link(other_id, len(body))
+    delay_s = ends_at_s - fleet.clock.elapsed_s + 2 * MESSAGE_DELAY_S
+    if body is None:
+        event = events.SnapshotRead(command.operation_id, PlatformUnavailableError)
+    elif delay_s > SNAPSHOT_TIMEOUT_S:
+        delay_s = SNAPSHOT_TIMEOUT_S
+        event = events.SnapshotRead(command.operation_id, ExchangeFailedError)
+    else:
+        snapshot = decode_snapshot(body)
+        event = events.SnapshotRead(command.operation_id, None, snapshot)
+    fleet.later(delay_s, lambda: fleet.post(vm_id, event))
 
 
 @handlers("LogEvent")
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -104,6 +104,9 @@
         blocked_links: Pairs (VM, VM or server) between which nothing gets through in
             this direction.
         loss_ratio: Probability that a message between VMs is lost.
+        link_bytes_per_s: Speed of each VM's link, for the copies that others make of
+            its registry.
+        snapshot_bytes: Size of each copy of a registry, in the order of their starts.
         executed_attempts: Attempts that a server executed.
         issued_attempts: Attempts that VMs issued to servers, also rejected and
             unreachable ones.
@@ -122,6 +125,8 @@
         self.server_wait_s: dict[str, float] = {}
         self.blocked_links: set[tuple[str, str]] = set()
         self.loss_ratio = 0.0
+        self.link_bytes_per_s = float("inf")
+        self.snapshot_bytes: list[int] = []
         self.executed_attempts: list[IssuedAttempt] = []
         self.issued_attempts: list[IssuedAttempt] = []
         self.caller_replies: dict[int, CallerReply] = {}
@@ -129,6 +134,7 @@
         self.stopped_vm_ids: set[str] = set()
         self.logs: list[tuple[str, Any]] = []
         self._scheduled_calls: list[tuple[float, int, Any]] = []
+        self._link_free_at_s: dict[str, float] = {}
         self._numbers = count(1)
         self._connection_ids = count(1)
 
@@ -207,6 +213,15 @@
         due_s = self.clock.elapsed_s + delay_s
         heapq.heappush(self._scheduled_calls, (due_s, next(self._numbers), call))
 
+    def occupy_link(self, vm_id: str, n_bytes: int) -> float:
+        """Queue a copy on a VM's link; return when it ends, in elapsed seconds."""
+        self.snapshot_bytes.append(n_bytes)
+        free_at_s = self._link_free_at_s.get(vm_id, 0.0)
+        starts_at_s = max(free_at_s, self.clock.elapsed_s)
+        ends_at_s = starts_at_s + n_bytes / self.link_bytes_per_s
+        self._link_free_at_s[vm_id] = ends_at_s
+        return ends_at_s
+
     def tick(self, vm_id: str) -> None:
         """Run one tick of a VM and its commands; schedule another if events remain."""
         world = self.worlds[vm_id]
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -8,8 +8,10 @@
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.registry_reads import is_reader
 from burdockhitch.tables.registry_views import RegistryPart
-from burdockhitch.tables.vms import VmStatus
+from burdockhitch.tables.vms import VmRow, VmStatus
 from burdockhitch.tests.direct_fakes import (
+    SERVICE,
+    DirectFleet,
     make_configuration,
     make_route,
     start_fleet,
@@ -28,6 +30,15 @@
     }
 
 
+def wait_until_all(fleet, has_applied, wait_max_s=8.0):
+    """Run until all VMs have applied a change; return after how many seconds."""
+    started_at_s = fleet.clock.elapsed_s
+    while not all(has_applied(world) for world in fleet.worlds.values()):
+        assert fleet.clock.elapsed_s < started_at_s + wait_max_s
+        fleet.run(0.05)
+    return fleet.clock.elapsed_s - started_at_s
+
+
 def refuse_all_vms(fleet):
     fleet.registry.refused_vms |= set(fleet.worlds)
 
@@ -89,6 +100,98 @@
     assert set(configuration_versions(fleet).values()) == {7}
 
 
+# The largest zone of a deployment, with a link of 10 Mbit/s for each VM.
+LINK_BYTES_PER_S = 1.25e6
+ZONE_VMS = 37
+DEPLOYMENT_VMS = 114
+DEPLOYMENT_SERVERS = 273
+
+
+def server_names(first, n_servers):
+    return [f"{SERVICE}-server-{number:05d}" for number in range(first, n_servers)]
+
+
+def make_routes(n_routes):
+    return [
+        make_route(f"{SERVICE}-route-{number:05d}", prefix=f"/booking/{number:05d}/")
+        for number in range(n_routes)
+    ]
+
+
+def start_large_zone():
+    """Return a fleet of one large zone, whose VMs also list those of other zones."""
+    fleet = DirectFleet()
+    for number in range(DEPLOYMENT_VMS - ZONE_VMS):
+        address = f"10.2.0.{number}"
+        fleet.registry.vms[f"vm-b-{number}"] = VmRow(
+            f"vm-b-{number}",
+            incarnation=1_780_000_000_000_000,
+            n_refutations=0,
+            zone="b",
+            region="",
+            caller_address=f"{address}:1",
+            message_address=f"{address}:2",
+            status=VmStatus.ALIVE,
+            admin_address=f"{address}:3",
+        )
+    for name in server_names(0, DEPLOYMENT_SERVERS):
+        fleet.add_server(name)
+    for number in range(ZONE_VMS):
+        fleet.add_vm(f"vm-{number}")
+    fleet.run(5.0)
+    fleet.link_bytes_per_s = LINK_BYTES_PER_S
+    return fleet
+
+
+def change_in_series(fleet):
+    """Write four configurations within 0.8 s and add 82 servers in the next 0.5 s."""
+    for version in range(2, 6):
+        fleet.configure(version, *make_routes(196 + version))
+        fleet.run(0.2)
+    for name in server_names(DEPLOYMENT_SERVERS, 355):
+        fleet.add_server(name)
+        fleet.run(0.5 / 82)
+
+
+def add_servers(fleet):
+    change_in_series(fleet)
+    return lambda world: len(world.backend_servers) == 355
+
+
+def configure_after_a_series(fleet):
+    change_in_series(fleet)
+    fleet.configure(7, *make_routes(210))
+    return lambda world: len(world.prefix_routes) == 210
+
+
+def drain_after_a_series(fleet):
+    change_in_series(fleet)
+    name = server_names(0, 1)[0]
+    fleet.add_server(name, is_draining=True)
+    return lambda world: world.backend_servers.fetch(name).is_draining
+
+
+def configure_many_routes(fleet):
+    fleet.configure(7, *make_routes(1400))
+    return lambda world: len(world.prefix_routes) == 1400
+
+
+@pytest.mark.parametrize(
+    ("make_change", "spread_max_s"),
+    [
+        (add_servers, CONFIGURATION_SPREAD_MAX_S),
+        (configure_after_a_series, CONFIGURATION_SPREAD_MAX_S),
+        (drain_after_a_series, DRAIN_SPREAD_MAX_S),
+        (configure_many_routes, CONFIGURATION_SPREAD_MAX_S),
+    ],
+)
+def test_copies_over_a_congested_link_do_not_delay_a_change(make_change, spread_max_s):
+    fleet = start_large_zone()
+    has_applied = make_change(fleet)
+    applied_after_s = wait_until_all(fleet, has_applied)
+    assert applied_after_s <= spread_max_s
+
+
 def test_frequent_configurations_never_revert_a_vm_to_an_older_one():
     fleet = start_fleet(n_vms=6, zones=ZONES, seed=3)
     fleet.loss_ratio = 0.2
