Copy only what changed in the registry since the copier's versions

Callers of large deployments got 404 for routes that existed, and requests went to drained servers or not to new ones, for seconds after a series of changes.

Change: a VM keeps which entry changed last at which of its versions, for servers and routes, also removed ones, at most 1,000 a part. A copier whose version is covered gets the changed entries and the ids of removed ones; any other gets the whole part. A record may have too high a version, never too low a one, so a copy may hold too much, never too little. All routes are still swapped in one tick.

Two rules follow from cases that tests show. A list that was read whole over an older one tells which entries differ, but not which ones changed and changed back in between; so a copier with a version inside such a gap gets the whole part. And the list of VMs goes along if the copier is not ready or knows fewer VMs than the source: VMs that removed each other from their lists during a cut of 40 s find each other through copies.

--- a/burdockhitch/commands.py
+++ b/burdockhitch/commands.py
@@ -230,12 +230,14 @@
         admin_address: ``ip:port`` of the other VM.
         configuration_version: Version of the configuration that this VM holds.
         servers_version: Version of the backend servers that this VM holds.
+        n_vms: Number of VMs that this VM knows; 0 to get a list of VMs in any case.
     """
 
     operation_id: str
     admin_address: str
     configuration_version: int
     servers_version: int
+    n_vms: int
 
 
 class WriteVm(NamedTuple):
--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -8,19 +8,49 @@
 from burdockhitch.tables.vms import VmRow
 
 
+class ConfigurationCopy(NamedTuple):
+    """A configuration for a VM that holds an older one.
+
+    Attributes:
+        document: The configuration, with the changed routes only unless
+            ``is_complete``.
+        removed_route_ids: Routes that were removed since the other VM's version.
+        is_complete: Whether ``document`` has all routes.
+    """
+
+    document: ConfigurationDocument
+    removed_route_ids: tuple[str, ...]
+    is_complete: bool
+
+
+class ServersCopy(NamedTuple):
+    """A list of backend servers for a VM that holds an older one.
+
+    Attributes:
+        version: Version of the list.
+        servers: All backend servers if ``is_complete``, otherwise the changed ones.
+        removed_server_ids: Servers that were removed since the other VM's version.
+        is_complete: Whether ``servers`` is the whole list.
+    """
+
+    version: int
+    servers: tuple[BackendServerRow, ...]
+    removed_server_ids: tuple[str, ...]
+    is_complete: bool
+
+
 class Snapshot(NamedTuple):
     """A VM's copy of the registry, for a VM that holds an older one.
 
     Attributes:
-        configuration: Configuration in force; None if the other VM's is as new.
-        servers_version: Version of the list of backend servers.
-        servers: All backend servers; None if the other VM's list is as new.
-        vms: All VMs in the sender's membership view.
+        configuration: None if the other VM's is as new.
+        servers: None if the other VM's list is as new.
+        vms: All VMs in the sender's membership view; empty if the other VM knows as
+            many.
     """
 
-    configuration: ConfigurationDocument | None
-    servers_version: int
-    servers: tuple[BackendServerRow, ...] | None
+    configuration: ConfigurationCopy | None
+    servers: ServersCopy | None
     vms: tuple[VmRow, ...]
 
 
--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -49,8 +49,9 @@
         """Return the parts of the registry newer than the versions in the query."""
         snapshot = make_snapshot(
             self._world,
-            _query_version(request, b"configuration"),
-            _query_version(request, b"servers"),
+            _query_number(request, b"configuration"),
+            _query_number(request, b"servers"),
+            _query_number(request, b"vms"),
         )
         body = encode_snapshot(snapshot)
         count(self._world, "snapshots_served")
@@ -76,7 +77,7 @@
     return AdminApp(world).app.resource()
 
 
-def _query_version(request: Any, name: bytes) -> int:
+def _query_number(request: Any, name: bytes) -> int:
     text = (request.args.get(name) or [b"0"])[0]
     return int(text) if text.isdigit() else 0
 
@@ -88,6 +89,7 @@
         {
             "configuration": command.configuration_version,
             "servers": command.servers_version,
+            "vms": command.n_vms,
         }
     )
     path = f"{names.SNAPSHOT_PATH}?{query}"
--- a/burdockhitch/systems/direct/configuration.py
+++ b/burdockhitch/systems/direct/configuration.py
@@ -1,6 +1,10 @@
 """Applies configurations; an older version never replaces a newer one."""
 
+from collections.abc import Iterable
+
 from burdockhitch.clock import Instant
+from burdockhitch.systems.direct.registry_changes import record_changes, record_gap
+from burdockhitch.tables.prefix_routes import PrefixRouteRow
 from burdockhitch.tables.registry_views import (
     ConfigurationDocument,
     RegistryPart,
@@ -21,23 +25,63 @@
         world.registry_views.put(view._replace(version=version))
 
 
+def merge_routes(
+    held: ConfigurationDocument,
+    document: ConfigurationDocument,
+    removed_route_ids: tuple[str, ...],
+) -> ConfigurationDocument:
+    """Return a configuration that has only changed routes, with all its routes."""
+    routes = {route.route_id: route for route in held.routes}
+    for route_id in removed_route_ids:
+        routes.pop(route_id, None)
+    routes.update((route.route_id, route) for route in document.routes)
+    return document._replace(routes=tuple(routes.values()))
+
+
+def _compare_routes(
+    held: Iterable[PrefixRouteRow], routes: Iterable[PrefixRouteRow]
+) -> tuple[str, ...]:
+    """Return which routes were added, changed or removed."""
+    different = set(held).symmetric_difference(routes)
+    return tuple(sorted({route.route_id for route in different}))
+
+
 def apply_configuration(
-    world: World, document: ConfigurationDocument, source: str, now: Instant
+    world: World,
+    document: ConfigurationDocument,
+    source: str,
+    now: Instant,
+    changed_route_ids: tuple[str, ...] | None = None,
 ) -> bool:
     """Apply a configuration if it is newer than the one in force.
 
+    Args:
+        world: Tables of this VM.
+        document: Configuration with all its routes.
+        source: Where it was read, for the log.
+        now: Time of the tick.
+        changed_route_ids: All routes that changed or were removed since the version in
+            force, or since an older one; None if that is not known.
+
     Returns:
         Whether it was applied.
     """
     held_version = registry_view(world, RegistryPart.CONFIGURATION).version
     if document.version <= held_version:
         return False
+    part = RegistryPart.CONFIGURATION
+    subjects = changed_route_ids
+    if subjects is None:
+        subjects = _compare_routes(world.prefix_routes, document.routes)
     world.configurations.clear()
     world.configurations.insert(document)
     world.prefix_routes.clear()
     for route in document.routes:
         world.prefix_routes.put(route)
-    record_version(world, RegistryPart.CONFIGURATION, document.version)
+    record_version(world, part, document.version)
+    record_changes(world, part, held_version, subjects)
+    if changed_route_ids is None:
+        record_gap(world, part, held_version)
     log_event(
         world,
         "INFO",
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -2,6 +2,7 @@
 
 from burdockhitch.clock import Instant
 from burdockhitch.systems.direct.configuration import record_version, registry_view
+from burdockhitch.systems.direct.registry_changes import record_changes, record_gap
 from burdockhitch.systems.direct.server_estimates import P_FAILING_STATIONARY
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.backend_servers import BackendServerRow
@@ -109,22 +110,29 @@
     held_version = registry_view(world, RegistryPart.SERVERS).version
     if version <= held_version:
         return False
-    for server in servers:
-        _store_server(world, server, now)
+    changed = servers
     if is_complete:
         listed = {server.server_id for server in servers}
-        held = {row.server_id for row in world.backend_servers}
-        removed = tuple(held - listed)
+        held = {row.server_id: row for row in world.backend_servers}
+        removed = tuple(held.keys() - listed)
+        changed = tuple(row for row in servers if held.get(row.server_id) != row)
+    for server in servers:
+        _store_server(world, server, now)
     for server_id in removed:
         remove_server(world, server_id, now)
-    record_version(world, RegistryPart.SERVERS, version)
+    part = RegistryPart.SERVERS
+    record_version(world, part, version)
+    subjects = [server.server_id for server in changed]
+    record_changes(world, part, held_version, [*subjects, *removed])
+    if is_complete:
+        record_gap(world, part, held_version)
     log_event(
         world,
         "INFO",
         "servers_applied",
         version=version,
         previous=held_version,
-        n_changed=len(servers),
+        n_changed=len(changed),
         n_removed=len(removed),
         source=source,
     )
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -2,13 +2,18 @@
 
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
-from burdockhitch.direct_messages import Snapshot
-from burdockhitch.systems.direct.configuration import apply_configuration, registry_view
+from burdockhitch.direct_messages import ConfigurationCopy, ServersCopy, Snapshot
+from burdockhitch.systems.direct.configuration import (
+    apply_configuration,
+    merge_routes,
+    registry_view,
+)
 from burdockhitch.systems.direct.membership import (
     add_listed_vm,
     broadcast_heartbeat,
     has_newer_registry,
 )
+from burdockhitch.systems.direct.registry_changes import find_changes
 from burdockhitch.systems.direct.servers import apply_servers
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import timer_handlers
@@ -35,15 +40,58 @@
 
 
 def make_snapshot(
-    world: World, configuration_version: int, servers_version: int
+    world: World, configuration_version: int, servers_version: int, n_vms: int
 ) -> Snapshot:
-    """Return the registry parts newer than the versions that the requester holds."""
-    configuration = next(iter(world.configurations), None)
-    if configuration is not None and configuration.version <= configuration_version:
-        configuration = None
-    version = registry_view(world, RegistryPart.SERVERS).version
-    servers = tuple(world.backend_servers) if version > servers_version else None
-    return Snapshot(configuration, version, servers, tuple(world.vms))
+    """Return what changed in the registry since the versions of the requester.
+
+    Args:
+        world: Tables of this VM.
+        configuration_version: Version of the configuration that the requester holds.
+        servers_version: Version of the backend servers that the requester holds.
+        n_vms: Number of VMs that the requester knows. The list of VMs is left out if
+            this VM knows no more.
+    """
+    return Snapshot(
+        _copy_configuration(world, configuration_version),
+        _copy_servers(world, servers_version),
+        tuple(world.vms) if len(world.vms) > n_vms else (),
+    )
+
+
+def _copy_configuration(world: World, version: int) -> ConfigurationCopy | None:
+    document = next(iter(world.configurations), None)
+    if document is None or document.version <= version:
+        return None
+    changed = find_changes(world, RegistryPart.CONFIGURATION, version)
+    if changed is None:
+        return ConfigurationCopy(document, (), True)
+    routes = tuple(
+        world.prefix_routes.fetch(route_id)
+        for route_id in changed
+        if route_id in world.prefix_routes
+    )
+    removed = tuple(
+        route_id for route_id in changed if route_id not in world.prefix_routes
+    )
+    return ConfigurationCopy(document._replace(routes=routes), removed, False)
+
+
+def _copy_servers(world: World, version: int) -> ServersCopy | None:
+    held_version = registry_view(world, RegistryPart.SERVERS).version
+    if held_version <= version:
+        return None
+    changed = find_changes(world, RegistryPart.SERVERS, version)
+    if changed is None:
+        return ServersCopy(held_version, tuple(world.backend_servers), (), True)
+    servers = tuple(
+        world.backend_servers.fetch(server_id)
+        for server_id in changed
+        if server_id in world.backend_servers
+    )
+    removed = tuple(
+        server_id for server_id in changed if server_id not in world.backend_servers
+    )
+    return ServersCopy(held_version, servers, removed, False)
 
 
 def _find_sources(world: World) -> list[VmRow]:
@@ -72,6 +120,7 @@
             source.admin_address,
             registry_view(world, RegistryPart.CONFIGURATION).version,
             registry_view(world, RegistryPart.SERVERS).version,
+            len(world.vms) if world.vms.fetch(world.local.vm_id).is_ready else 0,
         ),
     )
 
@@ -127,15 +176,17 @@
 
 
 def _log_copy(world: World, snapshot: Snapshot, source: str, elapsed_s: float) -> None:
+    configuration, servers = snapshot.configuration, snapshot.servers
     log_event(
         world,
         "INFO",
         "registry_copied",
         source=source,
         elapsed_s=round(elapsed_s, 3),
-        n_servers=len(snapshot.servers or ()),
-        servers_version=snapshot.servers_version,
-        configuration_version=getattr(snapshot.configuration, "version", 0),
+        n_servers=len(servers.servers) if servers else 0,
+        servers_version=servers.version if servers else 0,
+        n_routes=len(configuration.document.routes) if configuration else 0,
+        configuration_version=configuration.document.version if configuration else 0,
     )
 
 
@@ -167,16 +218,31 @@
     )
 
 
+def _apply_configuration(
+    world: World, copy: ConfigurationCopy, source: str, now: Instant
+) -> bool:
+    """Apply a copied configuration; return whether it was newer."""
+    if copy.is_complete:
+        return apply_configuration(world, copy.document, source, now)
+    held = next(iter(world.configurations))
+    document = merge_routes(held, copy.document, copy.removed_route_ids)
+    changed = tuple(route.route_id for route in copy.document.routes)
+    return apply_configuration(
+        world, document, source, now, (*changed, *copy.removed_route_ids)
+    )
+
+
 def _apply_snapshot(
     world: World, snapshot: Snapshot, source: str, now: Instant
 ) -> None:
     """Apply a snapshot; announce this VM if it may have become ready."""
     is_changed = False
     if snapshot.configuration is not None:
-        is_changed = apply_configuration(world, snapshot.configuration, source, now)
+        is_changed = _apply_configuration(world, snapshot.configuration, source, now)
     if snapshot.servers is not None:
+        version, servers, removed, is_complete = snapshot.servers
         is_changed |= apply_servers(
-            world, snapshot.servers, (), snapshot.servers_version, True, source, now
+            world, servers, removed, version, is_complete, source, now
         )
     for row in snapshot.vms:
         add_listed_vm(world, row, now)
--- a/burdockhitch/tables/registry_views.py
+++ b/burdockhitch/tables/registry_views.py
@@ -51,6 +51,8 @@
             platform; 0 for none.
         n_failures: Failed reads from the platform since the last successful one.
         operation_id: Read or watch in progress, empty for none.
+        changes_from_version: Oldest version from which on all changes are recorded in
+            ``RegistryChangeRow``, except from versions in a ``RegistryGapRow``.
     """
 
     part: RegistryPart
@@ -60,6 +62,35 @@
     read_failed_at_s: float = 0.0
     n_failures: int = 0
     operation_id: str = ""
+    changes_from_version: int = 0
+
+
+class RegistryChangeRow(NamedTuple):
+    """The last change or removal of one entry in this VM's copy of the registry.
+
+    Attributes:
+        change_id: Registry part, and the name of the entry in it.
+        part: Registry part.
+        version: Version of this VM's copy after the change.
+    """
+
+    change_id: tuple[RegistryPart, str]
+    part: RegistryPart
+    version: int
+
+
+class RegistryGapRow(NamedTuple):
+    """Versions of a registry part that this VM skipped when it read the whole part.
+
+    Attributes:
+        gap_id: Registry part, and the last version before the gap.
+        part: Registry part.
+        before_version: First version after the gap.
+    """
+
+    gap_id: tuple[RegistryPart, int]
+    part: RegistryPart
+    before_version: int
 
 
 class MissingServerRow(NamedTuple):
@@ -80,6 +111,16 @@
     return Table(RegistryViewRow, key="part")
 
 
+def make_registry_changes() -> Table[RegistryChangeRow]:
+    """Return an empty table of changes of registry entries."""
+    return Table(RegistryChangeRow, key="change_id", indexes=("part",))
+
+
+def make_registry_gaps() -> Table[RegistryGapRow]:
+    """Return an empty table of gaps between known versions of the registry."""
+    return Table(RegistryGapRow, key="gap_id", indexes=("part",))
+
+
 def make_configurations() -> Table[ConfigurationDocument]:
     """Return an empty table for the configuration in force."""
     return Table(ConfigurationDocument, key="version")
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -219,7 +219,10 @@
         if is_source and (vm_id, other_id) not in fleet.blocked_links:
             body = encode_snapshot(
                 make_snapshot(
-                    world, command.configuration_version, command.servers_version
+                    world,
+                    command.configuration_version,
+                    command.servers_version,
+                    command.n_vms,
                 )
             )
             ends_at_s = fleet.occupy_link(other_id, len(body))
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -5,8 +5,12 @@
 import pytest
 
 from burdockhitch import events
+from burdockhitch.direct_messages import Snapshot
+from burdockhitch.systems.direct import registry_changes
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.registry_reads import is_reader
+from burdockhitch.systems.direct.servers import apply_servers
+from burdockhitch.systems.direct.snapshots import make_snapshot
 from burdockhitch.tables.registry_views import RegistryPart
 from burdockhitch.tables.vms import VmRow, VmStatus
 from burdockhitch.tests.direct_fakes import (
@@ -14,6 +18,7 @@
     DirectFleet,
     make_configuration,
     make_route,
+    make_server,
     start_fleet,
 )
 
@@ -192,6 +197,126 @@
     assert applied_after_s <= spread_max_s
 
 
+def shown_entries(rows):
+    """Return rows without the part that depends on when they were read."""
+    return {row._replace(warm_up_remaining_s=0.0) for row in rows}
+
+
+def change_at_random(fleet, rng):
+    """Change an entry of the registry, often back to what it was before."""
+    server_id = str(rng.randrange(12))
+    if server_id in fleet.registry.servers and rng.random() < 0.4:
+        fleet.remove_server(server_id)
+    else:
+        fleet.add_server(server_id, is_draining=rng.random() < 0.3)
+    if rng.random() < 0.4:
+        routes = [
+            make_route(f"r{number}", prefix=f"/{number}/", priority=rng.randrange(2))
+            for number in range(6)
+            if rng.random() < 0.7
+        ]
+        version = fleet.registry.configuration.version + rng.randrange(1, 3)
+        fleet.configure(version, *routes)
+
+
+def change_conditions_at_random(fleet, rng):
+    """Cause or end a fault of the network, or discard the platform's history."""
+    for vm_id in fleet.worlds:
+        for other_vm_id in fleet.worlds:
+            fleet.blocked_links.discard((vm_id, other_vm_id))
+            if rng.random() < 0.1:
+                fleet.blocked_links.add((vm_id, other_vm_id))
+    fleet.registry.is_history_gone = rng.random() < 0.2
+    fleet.loss_ratio = rng.choice((0.0, 0.2, 0.5))
+
+
+@pytest.mark.parametrize("changes_max", [3, 1000])
+@pytest.mark.parametrize("seed", range(6))
+def test_copies_of_changes_leave_no_vm_with_another_registry(
+    seed, changes_max, monkeypatch
+):
+    monkeypatch.setattr(registry_changes, "CHANGES_MAX", changes_max)
+    monkeypatch.setattr(registry_changes, "GAPS_MAX", changes_max)
+    fleet = start_fleet(n_vms=8, zones=("a", "b"), seed=seed)
+    rng = random.Random(seed)
+    for _ in range(60):
+        change_at_random(fleet, rng)
+        fleet.run(rng.choice((0.0, 0.05, 0.3)))
+        if rng.random() < 0.2:
+            change_conditions_at_random(fleet, rng)
+    fleet.blocked_links.clear()
+    fleet.loss_ratio = 0.0
+    fleet.configure(1000, *fleet.registry.configuration.routes)
+    fleet.add_server("last")
+    fleet.run(8.0)
+    for world in fleet.worlds.values():
+        routes = fleet.registry.configuration.routes
+        assert set(world.prefix_routes) == set(routes)
+        assert set(next(iter(world.configurations)).routes) == set(routes)
+        assert shown_entries(world.backend_servers) == shown_entries(
+            fleet.registry.servers.values()
+        )
+
+
+def read_servers_in_steps(world):
+    """Apply four versions of the list of servers, the first and the third whole."""
+    now = world.clock.now()
+    one, two, three, four, five = (make_server(str(number)) for number in range(1, 6))
+    apply_servers(world, (one, two), (), 10, True, "test", now)
+    apply_servers(world, (three,), ("1",), 20, False, "test", now)
+    apply_servers(world, (two, four), (), 30, True, "test", now)
+    apply_servers(world, (five,), (), 40, False, "test", now)
+
+
+@pytest.mark.parametrize(
+    ("changes_max", "version", "expected"),
+    [
+        (1000, 0, ("2 4 5", "", True)),
+        (1000, 9, ("2 4 5", "", True)),
+        (1000, 10, ("4 5", "1 3", False)),
+        (1000, 15, ("4 5", "1 3", False)),
+        (1000, 20, ("4 5", "3", False)),
+        # Between two whole lists, a server may have changed and changed back.
+        (1000, 25, ("2 4 5", "", True)),
+        (1000, 30, ("5", "", False)),
+        (1000, 39, ("5", "", False)),
+        (2, 20, ("2 4 5", "", True)),
+        (2, 30, ("5", "", False)),
+    ],
+)
+def test_a_copy_holds_all_that_changed_since_a_version_and_no_more(
+    changes_max, version, expected, monkeypatch
+):
+    monkeypatch.setattr(registry_changes, "CHANGES_MAX", changes_max)
+    fleet = DirectFleet()
+    world = fleet.add_vm("vm-0")
+    read_servers_in_steps(world)
+    copy = make_snapshot(world, 0, version, n_vms=1).servers
+    server_ids = " ".join(sorted(server.server_id for server in copy.servers))
+    removed = " ".join(sorted(copy.removed_server_ids))
+    assert (server_ids, removed, copy.is_complete) == expected
+
+
+@pytest.mark.parametrize("version", [40, 41])
+def test_a_copy_for_a_vm_with_the_newest_version_holds_no_servers(version):
+    fleet = DirectFleet()
+    world = fleet.add_vm("vm-0")
+    read_servers_in_steps(world)
+    assert make_snapshot(world, 0, version, n_vms=1) == Snapshot(None, None, ())
+
+
+def test_vms_of_a_zone_that_lost_each_other_meet_again():
+    fleet = start_fleet(n_vms=4)
+    cut_links = {("vm-0", "vm-2"), ("vm-2", "vm-0")}
+    fleet.blocked_links |= cut_links
+    fleet.run(40.0)
+    fleet.blocked_links -= cut_links
+    fleet.add_server("new")
+    fleet.run(2.0)
+    assert fleet.worlds["vm-0"].vms.fetch("vm-2").status is VmStatus.ALIVE
+    assert fleet.worlds["vm-2"].vms.fetch("vm-0").status is VmStatus.ALIVE
+
+
 def test_frequent_configurations_never_revert_a_vm_to_an_older_one():
     fleet = start_fleet(n_vms=6, zones=ZONES, seed=3)
     fleet.loss_ratio = 0.2
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -86,6 +86,8 @@
     unreported_observations: Table[estimate_tables.UnreportedObservationRow]
     recent_successes: Table[estimate_tables.RecentSuccessRow]
     registry_views: Table[registry_views.RegistryViewRow]
+    registry_changes: Table[registry_views.RegistryChangeRow]
+    registry_gaps: Table[registry_views.RegistryGapRow]
     missing_servers: Table[registry_views.MissingServerRow]
     configurations: Table[registry_views.ConfigurationDocument]
     prefix_routes: Table[prefix_routes.PrefixRouteRow]
@@ -160,6 +162,8 @@
         unreported_observations=estimate_tables.make_unreported_observations(),
         recent_successes=estimate_tables.make_recent_successes(),
         registry_views=registry_views.make_registry_views(),
+        registry_changes=registry_views.make_registry_changes(),
+        registry_gaps=registry_views.make_registry_gaps(),
         missing_servers=registry_views.make_missing_servers(),
         configurations=registry_views.make_configurations(),
         prefix_routes=prefix_routes.make_prefix_routes(),
