Compress copies of the registry and encode equal ones once

Callers of large deployments got 404 for routes that existed for up to two seconds after a configuration of 1,400 routes: all are new, so a copy of the changes is as large as one of the whole, and 36 copies of 140 KB on the source's link of 10 Mbit/s take longer than the copies' time limit of 1 s.

Change: the body is compressed with zlib, and reused while the next copiers ask for the same. A body that can't be read ends the copy as SnapshotError.

The names in the test of congested links are random now, since they compressed by 16 times before.

--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -1,6 +1,8 @@
 """Copies the registry between VMs over HTTP on the admin address."""
 
-from typing import Any
+import zlib
+from collections import deque
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
@@ -21,11 +23,20 @@
 from burdockhitch.world import World, count
 
 SNAPSHOT_TIMEOUT_S = 1.0
+# The VMs of a zone mostly hold the same versions, or the versions before.
+ENCODED_SNAPSHOTS_MAX = 4
 STATUS_OK = 200
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Snapshot)
 
 
+class EncodedSnapshot(NamedTuple):
+    """A snapshot and the body of an answer with it."""
+
+    snapshot: Snapshot
+    body: bytes
+
+
 class PeerResource(Resource):
     """Serves registry snapshots to other VMs, and the operators' endpoints.
 
@@ -38,6 +49,9 @@
     def __init__(self, world: World) -> None:
         super().__init__()
         self._world = world
+        self._encoded_snapshots: deque[EncodedSnapshot] = deque(
+            maxlen=ENCODED_SNAPSHOTS_MAX
+        )
 
     def render(self, request: Any) -> Any:
         """Serve a snapshot, or pass the request to the operators' interface."""
@@ -53,20 +67,36 @@
             _query_number(request, b"servers"),
             _query_number(request, b"vms"),
         )
-        body = encode_snapshot(snapshot)
+        body = self._encode(snapshot)
         count(self._world, "snapshots_served")
         count(self._world, "snapshot_bytes_sent", n_events=len(body))
         return body
 
+    def _encode(self, snapshot: Snapshot) -> bytes:
+        """Encode a snapshot, or return the body of an equal one from before."""
+        for encoded in self._encoded_snapshots:
+            if encoded.snapshot == snapshot:
+                return encoded.body
+        body = encode_snapshot(snapshot)
+        self._encoded_snapshots.append(EncodedSnapshot(snapshot, body))
+        return body
+
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
     """Return the body of an answer with a snapshot."""
-    return _encoder.encode(snapshot)
+    return zlib.compress(_encoder.encode(snapshot))
 
 
 def decode_snapshot(body: bytes) -> Snapshot:
-    """Return the snapshot of an answer's body."""
-    return _decoder.decode(body)
+    """Return the snapshot of an answer's body.
+
+    Raises:
+        SnapshotError: If the body is malformed.
+    """
+    try:
+        return _decoder.decode(zlib.decompress(body))
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise SnapshotError(str(error)) from None
 
 
 def _admin_resource(world: World) -> Any:
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -1,11 +1,13 @@
 """Tests how registry changes and the VM list spread through a fleet under faults."""
 
 import random
+from typing import NamedTuple
 
 import pytest
 
 from burdockhitch import events
 from burdockhitch.direct_messages import Snapshot
+from burdockhitch.platform.peers import PeerResource, decode_snapshot
 from burdockhitch.systems.direct import registry_changes
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.registry_reads import is_reader
@@ -112,13 +114,22 @@
 DEPLOYMENT_SERVERS = 273
 
 
+def random_hex(number):
+    """Return eight digits for a number that compress as badly as real names."""
+    return f"{random.Random(number).getrandbits(32):08x}"
+
+
 def server_names(first, n_servers):
-    return [f"{SERVICE}-server-{number:05d}" for number in range(first, n_servers)]
+    return [f"{SERVICE}-{random_hex(number)}" for number in range(first, n_servers)]
 
 
 def make_routes(n_routes):
     return [
-        make_route(f"{SERVICE}-route-{number:05d}", prefix=f"/booking/{number:05d}/")
+        make_route(
+            f"{SERVICE}-route-{random_hex(number)}",
+            prefix=f"/booking/{random_hex(number + 10_000)}/",
+            timeout_s=random.Random(number).uniform(1.0, 5.0),
+        )
         for number in range(n_routes)
     ]
 
@@ -305,6 +316,27 @@
     assert make_snapshot(world, 0, version, n_vms=1) == Snapshot(None, None, ())
 
 
+class CopyRequest(NamedTuple):
+    """The fields of an HTTP request that serving a copy needs."""
+
+    path: bytes
+    args: dict[bytes, list[bytes]]
+
+
+def test_a_copy_is_encoded_once_for_all_copiers_with_the_same_versions():
+    fleet = DirectFleet()
+    world = fleet.add_vm("vm-0")
+    read_servers_in_steps(world)
+    resource = PeerResource(world)
+    first, second, other = (
+        resource.render(CopyRequest(b"/snapshot", {b"servers": [version]}))
+        for version in (b"20", b"20", b"30")
+    )
+    assert first is second
+    assert decode_snapshot(first) == make_snapshot(world, 0, 20, n_vms=0)
+    assert decode_snapshot(other) == make_snapshot(world, 0, 30, n_vms=0)
+
+
 def test_vms_of_a_zone_that_lost_each_other_meet_again():
     fleet = start_fleet(n_vms=4)
     cut_links = {("vm-0", "vm-2"), ("vm-2", "vm-0")}
--- a/burdockhitch/tests/test_platform_documents.py
+++ b/burdockhitch/tests/test_platform_documents.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import zlib
 from pathlib import Path
 
 import pytest
@@ -9,7 +10,7 @@
 import burdockhitch
 from burdockhitch import commands, log
 from burdockhitch.adapters.exchange import HttpAnswer
-from burdockhitch.errors import DocumentError, SettingsError
+from burdockhitch.errors import DocumentError, SettingsError, SnapshotError
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import Answer, RequestMessage
 from burdockhitch.platform import documents
@@ -21,6 +22,7 @@
     decode_rows,
     decode_server,
 )
+from burdockhitch.platform.peers import decode_snapshot
 from burdockhitch.platform.settings import read_platform_settings
 from burdockhitch.tables.prefix_routes import RouteTarget
 
@@ -170,6 +172,14 @@
         decode_rows(body)
 
 
+@pytest.mark.parametrize(
+    "body", [b"", b"\x93\xc0\xc0\x90", zlib.compress(b""), zlib.compress(b"\x91\xc0")]
+)
+def test_a_malformed_copy_of_the_registry_is_an_error(body):
+    with pytest.raises(SnapshotError):
+        decode_snapshot(body)
+
+
 @pytest.mark.parametrize("value", ["?", "YQ", "YQ=!"])
 def test_row_content_that_is_not_base64_is_an_error(value):
     with pytest.raises(DocumentError):
