Stop the delayed removal of a server that was already removed

Requests stopped going to a sound server that was listed again after an outage of the platform, until its entry changed the next time.

Cause: a server that vanishes soon after an outage is removed by a timer. If it is removed at once meanwhile, as when the whole list is read again, the timer stayed. When the server was listed again, nothing tied the timer to it, and it fired on the listed server.

Removing a server now stops its timer.

--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -60,6 +60,7 @@
     world.backend_servers.remove(server_id)
     world.server_estimates.discard(server_id)
     world.missing_servers.discard(server_id)
+    stop_timer(world, TimerKind.MISSING_SERVER, server_id)
     log_event(world, "INFO", "server_removed", server=server_id, reason=reason)
 
 
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -402,6 +402,32 @@
     assert ("1" in world.backend_servers) == is_listed
 
 
+def test_a_server_listed_again_is_not_removed_by_the_delay_of_an_earlier_removal():
+    fleet = start_fleet(n_vms=1)
+    refuse_all_vms(fleet)
+    fleet.run(4.0)
+    fleet.remove_server("1")
+    fleet.registry.refused_vms.clear()
+    fleet.run(1.0)
+    assert vms_that_list(fleet, "1") == {"vm-0"}
+    # The whole list is read again, and the server is removed at once.
+    fleet.registry.is_history_gone = True
+    fleet.add_server("2")
+    fleet.run(0.3)
+    assert vms_that_list(fleet, "1") == set()
+    fleet.add_server("1")
+    fleet.run(4.0)
+    assert vms_that_list(fleet, "1") == {"vm-0"}
+
+
+def vms_that_list(fleet, server_id):
+    return {
+        vm_id
+        for vm_id, world in fleet.worlds.items()
+        if server_id in world.backend_servers
+    }
+
+
 def test_a_server_unlisted_without_an_outage_is_removed_at_once():
     fleet = start_fleet(n_vms=1)
     fleet.remove_server("1")
