Remove servers that vanished after an outage on VMs that copy, too

Requests went to servers that were gone, until the list of servers changed the next time.

Cause: a VM that reads the platform removes a server that vanishes soon after its last failed read with a delay, since it may be listed again. VMs that copy from it in the meantime got the server as a listed one at the newest version. The delayed removal does not change the version, so they never copied again.

Change: a copy holds the servers that the source misses, with the time to their removal, and the copier schedules the same removal, unless they are listed again.

Ruled out: to leave missing servers out of copies. A VM that starts or copies in an outage would lack them, although they are often listed again.

--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -23,6 +23,18 @@
     is_complete: bool
 
 
+class MissingServer(NamedTuple):
+    """A backend server that vanished from the registry and is still used for a while.
+
+    Attributes:
+        server_id: Backend server.
+        removal_in_s: Time until it is removed, unless it is listed again.
+    """
+
+    server_id: str
+    removal_in_s: float
+
+
 class ServersCopy(NamedTuple):
     """A list of backend servers for a VM that holds an older one.
 
@@ -31,12 +43,14 @@
         servers: All backend servers if ``is_complete``, otherwise the changed ones.
         removed_server_ids: Servers that were removed since the other VM's version.
         is_complete: Whether ``servers`` is the whole list.
+        missing: All servers that the sender holds but that are no longer listed.
     """
 
     version: int
     servers: tuple[BackendServerRow, ...]
     removed_server_ids: tuple[str, ...]
     is_complete: bool
+    missing: tuple[MissingServer, ...]
 
 
 class Snapshot(NamedTuple):
--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -66,6 +66,7 @@
             _query_number(request, b"configuration"),
             _query_number(request, b"servers"),
             _query_number(request, b"vms"),
+            self._world.clock.now(),
         )
         body = self._encode(snapshot)
         count(self._world, "snapshots_served")
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -1,6 +1,7 @@
 """Maintains the table of backend servers that the registry lists."""
 
 from burdockhitch.clock import Instant
+from burdockhitch.direct_messages import MissingServer
 from burdockhitch.systems.direct.configuration import record_version, registry_view
 from burdockhitch.systems.direct.registry_changes import record_changes, record_gap
 from burdockhitch.systems.direct.server_estimates import P_FAILING_STATIONARY
@@ -24,6 +25,12 @@
     )
 
 
+def _is_changed(world: World, server: BackendServerRow) -> bool:
+    """Return whether a listed server differs from the one held or was missing."""
+    is_missing = server.server_id in world.missing_servers
+    return is_missing or world.backend_servers.get(server.server_id) != server
+
+
 def _store_server(world: World, server: BackendServerRow, now: Instant) -> None:
     """Store a listed server; a new or restarted one gets a new estimate."""
     old = world.backend_servers.get(server.server_id)
@@ -80,11 +87,28 @@
     due_s = _relisted_at_s(world)
     if now.monotonic_s >= due_s:
         _delete_server(world, server_id, "removed from the registry")
-    elif server_id not in world.missing_servers:
+    else:
+        _schedule_removal(world, server_id, due_s)
+
+
+def _schedule_removal(world: World, server_id: str, due_s: float) -> None:
+    if server_id in world.backend_servers and server_id not in world.missing_servers:
         world.missing_servers.insert(MissingServerRow(server_id))
         start_timer(world, TimerKind.MISSING_SERVER, server_id, due_s)
 
 
+def find_missing_servers(world: World, now: Instant) -> tuple[MissingServer, ...]:
+    """Return the servers that are no longer listed, with the time to their removal."""
+    timers = [
+        world.timers.fetch((TimerKind.MISSING_SERVER, row.server_id))
+        for row in world.missing_servers
+    ]
+    return tuple(
+        MissingServer(timer.timer_id[1], timer.due_s - now.monotonic_s)
+        for timer in timers
+    )
+
+
 @timer_handlers(TimerKind.MISSING_SERVER)
 def remove_missing_server(world: World, server_id: str, now: Instant) -> None:
     """Remove a server that was not listed again in time."""
@@ -99,11 +123,13 @@
     is_complete: bool,
     source: str,
     now: Instant,
+    missing: tuple[MissingServer, ...] = (),
 ) -> bool:
     """Apply a new version of the server list if it is newer than the one held.
 
     Servers that are not in ``servers`` are removed if ``is_complete``, otherwise only
-    those in ``removed``.
+    those in ``removed``. The removal of those in ``missing`` is scheduled, because the
+    version of the list won't change when the source removes them.
 
     Returns:
         Whether it was newer.
@@ -114,13 +140,15 @@
     changed = servers
     if is_complete:
         listed = {server.server_id for server in servers}
-        held = {row.server_id: row for row in world.backend_servers}
-        removed = tuple(held.keys() - listed)
-        changed = tuple(row for row in servers if held.get(row.server_id) != row)
+        held = {row.server_id for row in world.backend_servers}
+        removed = tuple(held - listed)
+        changed = tuple(row for row in servers if _is_changed(world, row))
     for server in servers:
         _store_server(world, server, now)
     for server_id in removed:
         remove_server(world, server_id, now)
+    for server_id, removal_in_s in missing:
+        _schedule_removal(world, server_id, now.monotonic_s + removal_in_s)
     part = RegistryPart.SERVERS
     record_version(world, part, version)
     subjects = [server.server_id for server in changed]
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -14,7 +14,7 @@
     has_newer_registry,
 )
 from burdockhitch.systems.direct.registry_changes import find_changes
-from burdockhitch.systems.direct.servers import apply_servers
+from burdockhitch.systems.direct.servers import apply_servers, find_missing_servers
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.registry_views import RegistryPart
@@ -40,7 +40,11 @@
 
 
 def make_snapshot(
-    world: World, configuration_version: int, servers_version: int, n_vms: int
+    world: World,
+    configuration_version: int,
+    servers_version: int,
+    n_vms: int,
+    now: Instant,
 ) -> Snapshot:
     """Return what changed in the registry since the versions of the requester.
 
@@ -50,10 +54,11 @@
         servers_version: Version of the backend servers that the requester holds.
         n_vms: Number of VMs that the requester knows. The list of VMs is left out if
             this VM knows no more.
+        now: Time of the copy.
     """
     return Snapshot(
         _copy_configuration(world, configuration_version),
-        _copy_servers(world, servers_version),
+        _copy_servers(world, servers_version, now),
         tuple(world.vms) if len(world.vms) > n_vms else (),
     )
 
@@ -76,13 +81,16 @@
     return ConfigurationCopy(document._replace(routes=routes), removed, False)
 
 
-def _copy_servers(world: World, version: int) -> ServersCopy | None:
+def _copy_servers(world: World, version: int, now: Instant) -> ServersCopy | None:
     held_version = registry_view(world, RegistryPart.SERVERS).version
     if held_version <= version:
         return None
     changed = find_changes(world, RegistryPart.SERVERS, version)
+    missing = find_missing_servers(world, now)
     if changed is None:
-        return ServersCopy(held_version, tuple(world.backend_servers), (), True)
+        return ServersCopy(
+            held_version, tuple(world.backend_servers), (), True, missing
+        )
     servers = tuple(
         world.backend_servers.fetch(server_id)
         for server_id in changed
@@ -91,7 +99,7 @@
     removed = tuple(
         server_id for server_id in changed if server_id not in world.backend_servers
     )
-    return ServersCopy(held_version, servers, removed, False)
+    return ServersCopy(held_version, servers, removed, False, missing)
 
 
 def _find_sources(world: World) -> list[VmRow]:
@@ -240,9 +248,9 @@
     if snapshot.configuration is not None:
         is_changed = _apply_configuration(world, snapshot.configuration, source, now)
     if snapshot.servers is not None:
-        version, servers, removed, is_complete = snapshot.servers
+        version, servers, removed, is_complete, missing = snapshot.servers
         is_changed |= apply_servers(
-            world, servers, removed, version, is_complete, source, now
+            world, servers, removed, version, is_complete, source, now, missing
         )
     for row in snapshot.vms:
         add_listed_vm(world, row, now)
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -223,6 +223,7 @@
                     command.configuration_version,
                     command.servers_version,
                     command.n_vms,
+                    fleet.clock.now(),
                 )
             )
             ends_at_s = fleet.occupy_link(other_id, len(body))
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -231,8 +231,10 @@
 
 
 def change_conditions_at_random(fleet, rng):
-    """Cause or end a fault of the network, or discard the platform's history."""
+    """Cause or end a fault of the network or of the platform."""
     for vm_id in fleet.worlds:
+        if rng.random() < 0.2:
+            fleet.registry.refused_vms ^= {vm_id}
         for other_vm_id in fleet.worlds:
             fleet.blocked_links.discard((vm_id, other_vm_id))
             if rng.random() < 0.1:
@@ -242,7 +244,7 @@
 
 
 @pytest.mark.parametrize("changes_max", [3, 1000])
-@pytest.mark.parametrize("seed", range(6))
+@pytest.mark.parametrize("seed", range(10))
 def test_copies_of_changes_leave_no_vm_with_another_registry(
     seed, changes_max, monkeypatch
 ):
@@ -255,6 +257,7 @@
         fleet.run(rng.choice((0.0, 0.05, 0.3)))
         if rng.random() < 0.2:
             change_conditions_at_random(fleet, rng)
+    fleet.registry.refused_vms.clear()
     fleet.blocked_links.clear()
     fleet.loss_ratio = 0.0
     fleet.configure(1000, *fleet.registry.configuration.routes)
@@ -302,7 +305,7 @@
     fleet = DirectFleet()
     world = fleet.add_vm("vm-0")
     read_servers_in_steps(world)
-    copy = make_snapshot(world, 0, version, n_vms=1).servers
+    copy = make_snapshot(world, 0, version, n_vms=1, now=world.clock.now()).servers
     server_ids = " ".join(sorted(server.server_id for server in copy.servers))
     removed = " ".join(sorted(copy.removed_server_ids))
     assert (server_ids, removed, copy.is_complete) == expected
@@ -313,7 +316,9 @@
     fleet = DirectFleet()
     world = fleet.add_vm("vm-0")
     read_servers_in_steps(world)
-    assert make_snapshot(world, 0, version, n_vms=1) == Snapshot(None, None, ())
+    assert make_snapshot(world, 0, version, n_vms=1, now=world.clock.now()) == Snapshot(
+        None, None, ()
+    )
 
 
 class CopyRequest(NamedTuple):
@@ -333,8 +338,8 @@
         for version in (b"20", b"20", b"30")
     )
     assert first is second
-    assert decode_snapshot(first) == make_snapshot(world, 0, 20, n_vms=0)
-    assert decode_snapshot(other) == make_snapshot(world, 0, 30, n_vms=0)
+    assert decode_snapshot(first) == make_snapshot(world, 0, 20, 0, world.clock.now())
+    assert decode_snapshot(other) == make_snapshot(world, 0, 30, 0, world.clock.now())
 
 
 def test_vms_of_a_zone_that_lost_each_other_meet_again():
@@ -428,6 +433,24 @@
     }
 
 
+@pytest.mark.parametrize("zones", [("a",), ("a", "b")])
+@pytest.mark.parametrize("is_relisted", [True, False])
+def test_vms_that_copy_do_not_keep_a_server_unlisted_after_an_outage(
+    is_relisted, zones
+):
+    fleet = start_fleet(n_vms=12, zones=zones)
+    refuse_all_vms(fleet)
+    fleet.run(4.0)
+    fleet.remove_server("1")
+    fleet.registry.refused_vms.clear()
+    fleet.run(1.5)
+    assert vms_that_list(fleet, "1") == set(fleet.worlds)
+    if is_relisted:
+        fleet.add_server("1")
+    fleet.run(2.5)
+    assert vms_that_list(fleet, "1") == (set(fleet.worlds) if is_relisted else set())
+
+
 def test_a_server_unlisted_without_an_outage_is_removed_at_once():
     fleet = start_fleet(n_vms=1)
     fleet.remove_server("1")
