--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -54,7 +54,7 @@
 
 
 class Snapshot(NamedTuple):
-    """A VM's copy of the registry, for a VM that holds an older one.
+    """What a VM that holds an older copy of the registry copies from another VM.
 
     Attributes:
         configuration: None if the other VM's is as new.
