--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -8,19 +8,63 @@
 from burdockhitch.tables.vms import VmRow
 
 
+class ConfigurationCopy(NamedTuple):
+    """A configuration for a VM that holds an older one.
+
+    Attributes:
+        document: The configuration, with the changed routes only unless
+            ``is_complete``.
+        removed_route_ids: Routes that were removed since the other VM's version.
+        is_complete: Whether ``document`` has all routes.
+    """
+
+    document: ConfigurationDocument
+    removed_route_ids: tuple[str, ...]
+    is_complete: bool
+
+
+class MissingServer(NamedTuple):
+    """A backend server that vanished from the registry and is still used for a while.
+
+    Attributes:
+        server_id: Backend server.
+        removal_in_s: Time until it is removed, unless it is listed again.
+    """
+
+    server_id: str
+    removal_in_s: float
+
+
+class ServersCopy(NamedTuple):
+    """A list of backend servers for a VM that holds an older one.
+
+    Attributes:
+        version: Version of the list.
+        servers: All backend servers if ``is_complete``, otherwise the changed ones.
+        removed_server_ids: Servers that were removed since the other VM's version.
+        is_complete: Whether ``servers`` is the whole list.
+        missing: All servers that the sender holds but that are no longer listed.
+    """
+
+    version: int
+    servers: tuple[BackendServerRow, ...]
+    removed_server_ids: tuple[str, ...]
+    is_complete: bool
+    missing: tuple[MissingServer, ...]
+
+
 class Snapshot(NamedTuple):
-    """A VM's copy of the registry, for a VM that holds an older one.
+    """What a VM that holds an older copy of the registry copies from another VM.
 
     Attributes:
-        configuration: Configuration in force; None if the other VM's is as new.
-        servers_version: Version of the list of backend servers.
-        servers: All backend servers; None if the other VM's list is as new.
-        vms: All VMs in the sender's membership view.
+        configuration: None if the other VM's is as new.
+        servers: None if the other VM's list is as new.
+        vms: All VMs in the sender's membership view; empty if the other VM knows as
+            many.
     """
 
-    configuration: ConfigurationDocument | None
-    servers_version: int
-    servers: tuple[BackendServerRow, ...] | None
+    configuration: ConfigurationCopy | None
+    servers: ServersCopy | None
     vms: tuple[VmRow, ...]
 
 
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -1,22 +1,30 @@
 """Tests how registry changes and the VM list spread through a fleet under faults."""
 
 import random
+from typing import NamedTuple
 
 import pytest
 
 from burdockhitch import events
-from burdockhitch.direct_messages import Report
+from burdockhitch.direct_messages import Report, Snapshot
+from burdockhitch.platform.peers import PeerResource, decode_snapshot
+from burdockhitch.systems.direct import registry_changes
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.registry_reads import (
     READER_STALE_S,
     is_reader,
     rank_in_zone,
 )
+from burdockhitch.systems.direct.servers import apply_servers
+from burdockhitch.systems.direct.snapshots import make_snapshot
 from burdockhitch.tables.registry_views import RegistryPart
-from burdockhitch.tables.vms import VmStatus
+from burdockhitch.tables.vms import VmRow, VmStatus
 from burdockhitch.tests.direct_fakes import (
+    SERVICE,
+    DirectFleet,
     make_configuration,
     make_route,
+    make_server,
     start_fleet,
 )
 
@@ -33,6 +41,15 @@
     }
 
 
+def wait_until_all(fleet, has_applied, wait_max_s=8.0):
+    """Run until all VMs have applied a change; return after how many seconds."""
+    started_at_s = fleet.clock.elapsed_s
+    while not all(has_applied(world) for world in fleet.worlds.values()):
+        assert fleet.clock.elapsed_s < started_at_s + wait_max_s
+        fleet.run(0.05)
+    return fleet.clock.elapsed_s - started_at_s
+
+
 def refuse_all_vms(fleet):
     fleet.registry.refused_vms |= set(fleet.worlds)
 
@@ -171,6 +188,253 @@
     assert is_reader(fleet.worlds[second], fleet.clock.now())
 
 
+# The largest zone of a deployment, with a link of 10 Mbit/s for each VM.
+LINK_BYTES_PER_S = 1.25e6
+ZONE_VMS = 37
+DEPLOYMENT_VMS = 114
+DEPLOYMENT_SERVERS = 273
+
+
+def random_hex(number):
+    """Return eight digits for a number that compress as badly as real names."""
+    return f"{random.Random(number).getrandbits(32):08x}"
+
+
+def server_names(first, n_servers):
+    return [f"{SERVICE}-{random_hex(number)}" for number in range(first, n_servers)]
+
+
+def make_routes(n_routes):
+    return [
+        make_route(
+            f"{SERVICE}-route-{random_hex(number)}",
+            prefix=f"/booking/{random_hex(number + 10_000)}/",
+            timeout_s=random.Random(number).uniform(1.0, 5.0),
+        )
+        for number in range(n_routes)
+    ]
+
+
+def start_large_zone():
+    """Return a fleet of one large zone, whose VMs also list those of other zones."""
+    fleet = DirectFleet()
+    for number in range(DEPLOYMENT_VMS - ZONE_VMS):
+        address = f"10.2.0.{number}"
+        fleet.registry.vms[f"vm-b-{number}"] = VmRow(
+            f"vm-b-{number}",
+            incarnation=1_780_000_000_000_000,
+            n_refutations=0,
+            zone="b",
+            region="",
+            caller_address=f"{address}:1",
+            message_address=f"{address}:2",
+            status=VmStatus.ALIVE,
+            admin_address=f"{address}:3",
+        )
+    for name in server_names(0, DEPLOYMENT_SERVERS):
+        fleet.add_server(name)
+    for number in range(ZONE_VMS):
+        fleet.add_vm(f"vm-{number}")
+    fleet.run(5.0)
+    fleet.link_bytes_per_s = LINK_BYTES_PER_S
+    return fleet
+
+
+def change_in_series(fleet):
+    """Write four configurations within 0.8 s and add 82 servers in the next 0.5 s."""
+    for version in range(2, 6):
+        fleet.configure(version, *make_routes(196 + version))
+        fleet.run(0.2)
+    for name in server_names(DEPLOYMENT_SERVERS, 355):
+        fleet.add_server(name)
+        fleet.run(0.5 / 82)
+
+
+def add_servers(fleet):
+    change_in_series(fleet)
+    return lambda world: len(world.backend_servers) == 355
+
+
+def configure_after_a_series(fleet):
+    change_in_series(fleet)
+    fleet.configure(7, *make_routes(210))
+    return lambda world: len(world.prefix_routes) == 210
+
+
+def drain_after_a_series(fleet):
+    change_in_series(fleet)
+    name = server_names(0, 1)[0]
+    fleet.add_server(name, is_draining=True)
+    return lambda world: world.backend_servers.fetch(name).is_draining
+
+
+def configure_many_routes(fleet):
+    fleet.configure(7, *make_routes(1400))
+    return lambda world: len(world.prefix_routes) == 1400
+
+
+@pytest.mark.parametrize(
+    ("make_change", "spread_max_s"),
+    [
+        (add_servers, CONFIGURATION_SPREAD_MAX_S),
+        (configure_after_a_series, CONFIGURATION_SPREAD_MAX_S),
+        (drain_after_a_series, DRAIN_SPREAD_MAX_S),
+        (configure_many_routes, CONFIGURATION_SPREAD_MAX_S),
+    ],
+)
+def test_copies_over_a_congested_link_do_not_delay_a_change(make_change, spread_max_s):
+    fleet = start_large_zone()
+    has_applied = make_change(fleet)
+    applied_after_s = wait_until_all(fleet, has_applied)
+    assert applied_after_s <= spread_max_s
+
+
+def shown_entries(rows):
+    """Return rows without the part that depends on when they were read."""
+    return {row._replace(warm_up_remaining_s=0.0) for row in rows}
+
+
+def change_at_random(fleet, rng):
+    """Change an entry of the registry, often back to what it was before."""
+    server_id = str(rng.randrange(12))
+    if server_id in fleet.registry.servers and rng.random() < 0.4:
+        fleet.remove_server(server_id)
+    else:
+        fleet.add_server(server_id, is_draining=rng.random() < 0.3)
+    if rng.random() < 0.4:
+        routes = [
+            make_route(f"r{number}", prefix=f"/{number}/", priority=rng.randrange(2))
+            for number in range(6)
+            if rng.random() < 0.7
+        ]
+        version = fleet.registry.configuration.version + rng.randrange(1, 3)
+        fleet.configure(version, *routes)
+
+
+def change_conditions_at_random(fleet, rng):
+    """Cause or end a fault of the network or of the platform."""
+    for vm_id in fleet.worlds:
+        if rng.random() < 0.2:
+            fleet.registry.refused_vms ^= {vm_id}
+        for other_vm_id in fleet.worlds:
+            fleet.blocked_links.discard((vm_id, other_vm_id))
+            if rng.random() < 0.1:
+                fleet.blocked_links.add((vm_id, other_vm_id))
+    fleet.registry.is_history_gone = rng.random() < 0.2
+    fleet.loss_ratio = rng.choice((0.0, 0.2, 0.5))
+
+
+@pytest.mark.parametrize("changes_max", [3, 1000])
+@pytest.mark.parametrize("seed", range(10))
+def test_copies_of_changes_leave_no_vm_with_another_registry(
+    seed, changes_max, monkeypatch
+):
+    monkeypatch.setattr(registry_changes, "CHANGES_MAX", changes_max)
+    monkeypatch.setattr(registry_changes, "GAPS_MAX", changes_max)
+    fleet = start_fleet(n_vms=8, zones=("a", "b"), seed=seed)
+    rng = random.Random(seed)
+    for _ in range(60):
+        change_at_random(fleet, rng)
+        fleet.run(rng.choice((0.0, 0.05, 0.3)))
+        if rng.random() < 0.2:
+            change_conditions_at_random(fleet, rng)
+    fleet.registry.refused_vms.clear()
+    fleet.blocked_links.clear()
+    fleet.loss_ratio = 0.0
+    fleet.configure(1000, *fleet.registry.configuration.routes)
+    fleet.add_server("last")
+    fleet.run(8.0)
+    for world in fleet.worlds.values():
+        routes = fleet.registry.configuration.routes
+        assert set(world.prefix_routes) == set(routes)
+        assert set(next(iter(world.configurations)).routes) == set(routes)
+        assert shown_entries(world.backend_servers) == shown_entries(
+            fleet.registry.servers.values()
+        )
+
+
+def read_servers_in_steps(world):
+    """Apply four versions of the list of servers, the first and the third whole."""
+    now = world.clock.now()
+    one, two, three, four, five = (make_server(str(number)) for number in range(1, 6))
+    apply_servers(world, (one, two), (), 10, True, "test", now)
+    apply_servers(world, (three,), ("1",), 20, False, "test", now)
+    apply_servers(world, (two, four), (), 30, True, "test", now)
+    apply_servers(world, (five,), (), 40, False, "test", now)
+
+
+@pytest.mark.parametrize(
+    ("changes_max", "version", "expected"),
+    [
+        (1000, 0, ("2 4 5", "", True)),
+        (1000, 9, ("2 4 5", "", True)),
+        (1000, 10, ("4 5", "1 3", False)),
+        (1000, 15, ("4 5", "1 3", False)),
+        (1000, 20, ("4 5", "3", False)),
+        # Between two whole lists, a server may have changed and changed back.
+        (1000, 25, ("2 4 5", "", True)),
+        (1000, 30, ("5", "", False)),
+        (1000, 39, ("5", "", False)),
+        (2, 20, ("2 4 5", "", True)),
+        (2, 30, ("5", "", False)),
+    ],
+)
+def test_a_copy_holds_all_that_changed_since_a_version_and_no_more(
+    changes_max, version, expected, monkeypatch
+):
+    monkeypatch.setattr(registry_changes, "CHANGES_MAX", changes_max)
+    fleet = DirectFleet()
+    world = fleet.add_vm("vm-0")
+    read_servers_in_steps(world)
+    copy = make_snapshot(world, 0, version, n_vms=1, now=world.clock.now()).servers
+    server_ids = " ".join(sorted(server.server_id for server in copy.servers))
+    removed = " ".join(sorted(copy.removed_server_ids))
+    assert (server_ids, removed, copy.is_complete) == expected
+
+
+@pytest.mark.parametrize("version", [40, 41])
+def test_a_copy_for_a_vm_with_the_newest_version_holds_no_servers(version):
+    fleet = DirectFleet()
+    world = fleet.add_vm("vm-0")
+    read_servers_in_steps(world)
+    assert make_snapshot(world, 0, version, n_vms=1, now=world.clock.now()) == Snapshot(
+        None, None, ()
+    )
+
+
+class CopyRequest(NamedTuple):
+    """The fields of an HTTP request that serving a copy needs."""
+
+    path: bytes
+    args: dict[bytes, list[bytes]]
+
+
+def test_a_copy_is_encoded_once_for_all_copiers_with_the_same_versions():
+    fleet = DirectFleet()
+    world = fleet.add_vm("vm-0")
+    read_servers_in_steps(world)
+    resource = PeerResource(world)
+    first, second, other = (
+        resource.render(CopyRequest(b"/snapshot", {b"servers": [version]}))
+        for version in (b"20", b"20", b"30")
+    )
+    assert first is second
+    assert decode_snapshot(first) == make_snapshot(world, 0, 20, 0, world.clock.now())
+    assert decode_snapshot(other) == make_snapshot(world, 0, 30, 0, world.clock.now())
+
+
+def test_vms_of_a_zone_that_lost_each_other_meet_again():
+    fleet = start_fleet(n_vms=4)
+    cut_links = {("vm-0", "vm-2"), ("vm-2", "vm-0")}
+    fleet.blocked_links |= cut_links
+    fleet.run(40.0)
+    fleet.blocked_links -= cut_links
+    fleet.add_server("new")
+    fleet.run(2.0)
+    assert fleet.worlds["vm-0"].vms.fetch("vm-2").status is VmStatus.ALIVE
+    assert fleet.worlds["vm-2"].vms.fetch("vm-0").status is VmStatus.ALIVE
+
+
 def test_frequent_configurations_never_revert_a_vm_to_an_older_one():
     fleet = start_fleet(n_vms=6, zones=ZONES, seed=3)
     fleet.loss_ratio = 0.2
@@ -224,6 +488,50 @@
     assert ("1" in world.backend_servers) == is_listed
 
 
+def test_a_server_listed_again_is_not_removed_by_the_delay_of_an_earlier_removal():
+    fleet = start_fleet(n_vms=1)
+    refuse_all_vms(fleet)
+    fleet.run(4.0)
+    fleet.remove_server("1")
+    fleet.registry.refused_vms.clear()
+    fleet.run(1.0)
+    assert vms_that_list(fleet, "1") == {"vm-0"}
+    # The whole list is read again, and the server is removed at once.
+    fleet.registry.is_history_gone = True
+    fleet.add_server("2")
+    fleet.run(0.3)
+    assert vms_that_list(fleet, "1") == set()
+    fleet.add_server("1")
+    fleet.run(4.0)
+    assert vms_that_list(fleet, "1") == {"vm-0"}
+
+
+def vms_that_list(fleet, server_id):
+    return {
+        vm_id
+        for vm_id, world in fleet.worlds.items()
+        if server_id in world.backend_servers
+    }
+
+
+@pytest.mark.parametrize("zones", [("a",), ("a", "b")])
+@pytest.mark.parametrize("is_relisted", [True, False])
+def test_vms_that_copy_do_not_keep_a_server_unlisted_after_an_outage(
+    is_relisted, zones
+):
+    fleet = start_fleet(n_vms=12, zones=zones)
+    refuse_all_vms(fleet)
+    fleet.run(4.0)
+    fleet.remove_server("1")
+    fleet.registry.refused_vms.clear()
+    fleet.run(1.5)
+    assert vms_that_list(fleet, "1") == set(fleet.worlds)
+    if is_relisted:
+        fleet.add_server("1")
+    fleet.run(2.5)
+    assert vms_that_list(fleet, "1") == (set(fleet.worlds) if is_relisted else set())
+
+
 def test_a_server_unlisted_without_an_outage_is_removed_at_once():
     fleet = start_fleet(n_vms=1)
     fleet.remove_server("1")
