Spread bursts of messages, so that narrow links don't lose reports to a zone

Cause: one VM forwards the report of another zone to all VMs of its own at once. With loads and successes of 115 servers that is 3 KB to 25 VMs, 80 KB at once on a link of 10 Mbit/s, which loses what it doesn't queue.

Lists of a zone's VMs (3 KB) never arrived in a play of 114 VMs, and all VMs took those of other zones for dead. Ruled out: the size of a datagram. Probes of 600 to 8,000 bytes arrived, 51 to 60 of 60 of each size, in a play of 14 VMs (trial), and in that play the lists arrived too.

Now the socket sends at most 16 KB at once and then at half of the capacity of the VM's link, which the platform's settings state.

--- a/burdockhitch/adapters/datagrams.py
+++ b/burdockhitch/adapters/datagrams.py
@@ -6,6 +6,8 @@
 current state.
 """
 
+from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -17,6 +19,14 @@
 from burdockhitch.world import World, count
 
 DATAGRAM_MAX_BYTES = 60_000
+BYTES_PER_MBIT = 125_000
+# Fraction of the link for messages; the rest is for requests.
+LINK_FRACTION = 0.5
+# Most that is sent at once, about 13 ms of a link of 10 Mbit/s.
+BURST_MAX_BYTES = 16 * 1024
+BURST_PAUSE_S = 0.015
+# Messages that would wait longer than these bytes take are outdated when they are sent.
+UNSENT_MAX_BYTES = 1024 * 1024
 _decoder = msgspec.msgpack.Decoder(list[bytes])
 
 
@@ -40,24 +50,36 @@
 class Datagrams(DatagramProtocol):
     """UDP socket for messages from and to other VMs.
 
+    Bursts are spread over time: a message of a few kilobytes to all VMs of a zone
+    exceeds what a narrow link queues, and the rest of the burst would be lost.
+
     Args:
-        world: Tables of this VM, for counters and settings.
+        world: Tables of this VM, for counters, settings and the clock.
         post: Puts an event into the inbox and requests a tick.
+        reactor: Twisted reactor.
     """
 
-    def __init__(self, world: World, post: Any) -> None:
+    def __init__(self, world: World, post: Callable[[Any], None], reactor: Any) -> None:
         self._world = world
         self._post = post
+        self._reactor = reactor
         self._port: Any = None
-
-    def listen(self, reactor: Any, address: str) -> None:
+        link_mbps = world.settings.direct.link_mbps
+        self._bytes_per_s = LINK_FRACTION * link_mbps * BYTES_PER_MBIT
+        self._unsent: deque[tuple[bytes, str]] = deque()
+        self._n_unsent_bytes = 0
+        self._n_burst_bytes = float(BURST_MAX_BYTES)
+        self._refilled_at_s = 0.0
+        self._is_pausing = False
+
+    def listen(self, address: str) -> None:
         """Bind the socket; datagrams stay in its buffer until ``read_pending``.
 
         Waking the reactor for each datagram would cost more than all other work of
         a VM.
         """
         host, _, port = address.rpartition(":")
-        self._port = reactor.listenUDP(int(port), self, interface=host)
+        self._port = self._reactor.listenUDP(int(port), self, interface=host)
         self._port.stopReading()
 
     def read_pending(self) -> None:
@@ -86,17 +108,42 @@
         """Send one message to several addresses; count each failure as dropped."""
         settings = self._world.settings
         datagram = pack_message(settings.fleet.name, settings.vm.vm_id, command.message)
-        if len(datagram) > DATAGRAM_MAX_BYTES or self.transport is None:
+        n_bytes = len(datagram) * len(command.message_addresses)
+        is_full = self._n_unsent_bytes + n_bytes > UNSENT_MAX_BYTES
+        if len(datagram) > DATAGRAM_MAX_BYTES or self.transport is None or is_full:
             count(self._world, "messages_dropped", "reason", "unsendable")
             return
+        self._unsent.extend(
+            (datagram, address) for address in command.message_addresses
+        )
+        self._n_unsent_bytes += n_bytes
+        if not self._is_pausing:
+            self._send_burst()
+
+    def _send_burst(self) -> None:
+        """Send what the allowance permits, and the rest after a pause."""
+        self._refill_allowance()
+        while self._unsent and self._n_burst_bytes > 0:
+            datagram, address = self._unsent.popleft()
+            self._n_unsent_bytes -= len(datagram)
+            self._n_burst_bytes -= len(datagram)
+            self._write(datagram, address)
+        self._is_pausing = bool(self._unsent)
+        if self._is_pausing:
+            self._reactor.callLater(BURST_PAUSE_S, self._send_burst)
+
+    def _refill_allowance(self) -> None:
+        now_s = self._world.clock.now().monotonic_s
+        n_refilled = (now_s - self._refilled_at_s) * self._bytes_per_s
+        self._n_burst_bytes = min(BURST_MAX_BYTES, self._n_burst_bytes + n_refilled)
+        self._refilled_at_s = now_s
+
+    def _write(self, datagram: bytes, address: str) -> None:
         transport: Any = self.transport
-        for address in command.message_addresses:
-            host, _, port = address.rpartition(":")
-            try:
-                transport.write(datagram, (host, int(port)))
-            except OSError as error:
-                reason = type(error).__name__
-                count(self._world, "messages_dropped", "reason", reason)
-                continue
-            n_bytes = len(datagram)
-            count(self._world, "message_bytes_sent", n_events=n_bytes)
+        host, _, port = address.rpartition(":")
+        try:
+            transport.write(datagram, (host, int(port)))
+        except OSError as error:
+            count(self._world, "messages_dropped", "reason", type(error).__name__)
+            return
+        count(self._world, "message_bytes_sent", n_events=len(datagram))
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -84,7 +84,7 @@
         callers={},
         attempts={},
         pool=pool,
-        datagrams=Datagrams(world, ticker.post),
+        datagrams=Datagrams(world, ticker.post, reactor),
         ports=[],
         connection_ids=count(1),
     )
@@ -94,7 +94,7 @@
 def _open_ports(process: PlatformProcess) -> None:
     settings = process.world.settings
     reactor, ports = process.reactor, process.ports
-    process.datagrams.listen(reactor, settings.vm.message_address)
+    process.datagrams.listen(settings.vm.message_address)
     admin_site = Site(peers.PeerResource(process.world))
     listen(reactor, settings.vm.admin_address, admin_site, ports)
     directory = callers.make_directory_site(process)
--- a/burdockhitch/settings.py
+++ b/burdockhitch/settings.py
@@ -49,6 +49,7 @@
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_RETRY_WINDOW_S = 10.0
 DEFAULT_RETRY_SLACK = 64.0
+DEFAULT_LINK_MBPS = 1000.0
 DEFAULT_ADDRESS_TTL_S = 3.5
 
 SECONDS_BY_UNIT = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
@@ -212,6 +213,7 @@
         retry_window_s: Length of the sliding window over which retries are counted.
         retry_slack: Retries that the fleet may send per window beyond the ratio.
         address_ttl_s: How long callers may cache an address answer.
+        link_mbps: Capacity of this VM's link, in megabits per second.
     """
 
     directory_address: str = DEFAULT_ADDRESS
@@ -222,6 +224,7 @@
     retry_window_s: float = DEFAULT_RETRY_WINDOW_S
     retry_slack: float = DEFAULT_RETRY_SLACK
     address_ttl_s: float = DEFAULT_ADDRESS_TTL_S
+    link_mbps: float = DEFAULT_LINK_MBPS
 
 
 class LogSettings(NamedTuple):
@@ -343,6 +346,7 @@
         "fanout": "count",
         "retry_ratio": "number",
         "retry_slack": "number",
+        "link_mbps": "number",
     }
     if field in name_by_field:
         return name_by_field[field]
@@ -416,6 +420,10 @@
             f"{servers.answer_max_bytes}B",
             f"at most open_answers_max ({servers.open_answers_max_bytes}B)",
         )
+    if settings.direct.link_mbps <= 0:
+        raise SettingsError(
+            path, "direct", "link_mbps", "0", "a capacity above zero, in Mbit/s"
+        )
     addresses = settings.vm[2:5]
     if len(set(addresses)) < len(addresses):
         raise SettingsError(
