Bound how many copies of the registry a VM sends at once

Callers of a large deployment would get 404 for existing routes without end, if so many routes change that the copies of a zone take longer than their time limit on the link of its reader.

Cause: all VMs of a zone start to copy when the reader announces a version. Copies over TCP share the link evenly, so they end together. If that is after the limit of 1 s, all fail, and all start again 0.2 s later.

Evidence: the fake of the link shares it evenly now; before, copies queued, which hid this.

Change: a VM refuses a copy with 503 while those before are expected to take more than 0.1 s of a link of 10 Mbit/s. The copier asks again within 0.1 s, and the source stays a source. A VM that got a copy of 4 KB or more announces itself in its zone, so that others can copy from it.

--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -289,6 +289,10 @@
     """Another VM's copy of the platform's registry can't be read."""
 
 
+class SnapshotBusyError(SnapshotError):
+    """Another VM is still sending copies of the registry to other VMs."""
+
+
 class RequestRefusedError(BurdockhitchError):
     """Base class of the refusals that callers receive.
 
--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -237,11 +237,13 @@
         operation_id: Operation that the read belongs to.
         error: Type of the failure; None on success.
         snapshot: The other VM's copy; None if the read failed.
+        n_bytes: Size of the copy as it was sent.
     """
 
     operation_id: str
     error: type[Exception] | None
     snapshot: Snapshot | None = None
+    n_bytes: int = 0
 
 
 class RowWritten(NamedTuple):
--- a/burdockhitch/platform/peers.py
+++ b/burdockhitch/platform/peers.py
@@ -16,16 +16,21 @@
 )
 from burdockhitch.adapters.exchange import HttpAnswer
 from burdockhitch.direct_messages import Snapshot
-from burdockhitch.errors import SnapshotError
+from burdockhitch.errors import SnapshotBusyError, SnapshotError
 from burdockhitch.platform import names
 from burdockhitch.platform.process import PlatformProcess, command_handlers
-from burdockhitch.systems.direct.snapshots import make_snapshot
+from burdockhitch.systems.direct.snapshots import (
+    is_sending_copies,
+    make_snapshot,
+    record_sent_copy,
+)
 from burdockhitch.world import World, count
 
 SNAPSHOT_TIMEOUT_S = 1.0
 # The VMs of a zone mostly hold the same versions, or the versions before.
 ENCODED_SNAPSHOTS_MAX = 4
 STATUS_OK = 200
+STATUS_BUSY = 503
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Snapshot)
 
@@ -60,15 +65,21 @@
         return _admin_resource(self._world).render(request)
 
     def _render_snapshot(self, request: Any) -> bytes:
-        """Return the parts of the registry newer than the versions in the query."""
+        """Return what changed since the versions in the query, unless busy."""
+        now = self._world.clock.now()
+        if is_sending_copies(self._world, now):
+            count(self._world, "snapshots_refused")
+            request.setResponseCode(STATUS_BUSY)
+            return b""
         snapshot = make_snapshot(
             self._world,
             _query_number(request, b"configuration"),
             _query_number(request, b"servers"),
             _query_number(request, b"vms"),
-            self._world.clock.now(),
+            now,
         )
         body = self._encode(snapshot)
+        record_sent_copy(self._world, len(body), now)
         count(self._world, "snapshots_served")
         count(self._world, "snapshot_bytes_sent", n_events=len(body))
         return body
@@ -127,10 +138,15 @@
     request = make_internal_request(command.admin_address, "GET", path)
 
     def post_snapshot(answer: HttpAnswer) -> None:
+        if answer.status == STATUS_BUSY:
+            raise SnapshotBusyError(command.admin_address)
         if answer.status != STATUS_OK:
             raise SnapshotError(str(answer.status))
         snapshot = decode_snapshot(answer.body)
-        process.ticker.post(events.SnapshotRead(command.operation_id, None, snapshot))
+        event = events.SnapshotRead(
+            command.operation_id, None, snapshot, len(answer.body)
+        )
+        process.ticker.post(event)
 
     def post_failure(failure: Failure) -> None:
         process.ticker.post(events.SnapshotRead(command.operation_id, failure.type))
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -3,6 +3,7 @@
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import ConfigurationCopy, ServersCopy, Snapshot
+from burdockhitch.errors import SnapshotBusyError
 from burdockhitch.systems.direct.configuration import (
     apply_configuration,
     merge_routes,
@@ -17,7 +18,7 @@
 from burdockhitch.systems.direct.servers import apply_servers, find_missing_servers
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import timer_handlers
-from burdockhitch.tables.registry_views import RegistryPart
+from burdockhitch.tables.registry_views import CopyQueueRow, RegistryPart
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmRow, VmStatus
 from burdockhitch.world import (
@@ -35,8 +36,19 @@
 # whose reader learns of a change at the same time as the other zone's.
 OTHER_ZONE_DELAY_S = 0.25
 COPY_RETRY_S = 0.2
-# Subject of the timer.
+# Longest delay until this VM asks a VM of its zone again, after all were busy.
+BUSY_RETRY_S = 0.1
+# Speed at which copies are expected to be sent: most of a link of 10 Mbit/s.
+COPY_BYTES_PER_S = 1e6
+# Longest time that a copy may wait for others. More copies at once only delay each
+# other beyond their time limit, while VMs that already got one could serve the rest.
+COPY_QUEUE_MAX_S = 0.1
+# Size of a copy from which on a VM announces to its zone that it got it, so that
+# others can copy from it before its next heartbeat.
+ANNOUNCED_COPY_MIN_BYTES = 4096
+# Subjects of the timer.
 COPY_FROM_ANY_ZONE = "copy"
+COPY_AFTER_BUSY = "busy"
 
 
 def make_snapshot(
@@ -102,6 +114,23 @@
     return ServersCopy(held_version, servers, removed, False, missing)
 
 
+def _sent_at_s(world: World, now: Instant) -> float:
+    """Return when all copies so far will have been sent, or the current time."""
+    queue = world.copy_queues.get(world.local.vm_id)
+    return max(queue.ends_at_s, now.monotonic_s) if queue else now.monotonic_s
+
+
+def is_sending_copies(world: World, now: Instant) -> bool:
+    """Return whether this VM still sends so many copies that it refuses another."""
+    return _sent_at_s(world, now) - now.monotonic_s > COPY_QUEUE_MAX_S
+
+
+def record_sent_copy(world: World, n_bytes: int, now: Instant) -> None:
+    """Record that this VM began to send a copy."""
+    ends_at_s = _sent_at_s(world, now) + n_bytes / COPY_BYTES_PER_S
+    world.copy_queues.put(CopyQueueRow(world.local.vm_id, ends_at_s))
+
+
 def _find_sources(world: World) -> list[VmRow]:
     """Return the VMs that hold newer versions and can be copied from."""
     return [
@@ -142,7 +171,7 @@
 
 def _plan_copy(world: World, now: Instant) -> None:
     """Copy from a VM of this zone, or schedule a copy from any other zone."""
-    if _is_copying(world):
+    if _is_copying(world) or (TimerKind.SNAPSHOT_COPY, COPY_AFTER_BUSY) in world.timers:
         return
     sources = _find_sources(world)
     if not sources:
@@ -159,8 +188,11 @@
 
 
 @timer_handlers(TimerKind.SNAPSHOT_COPY)
-def copy_from_any_zone(world: World, _subject: str, now: Instant) -> None:
-    """Copy from any VM that still holds newer versions."""
+def handle_copy_timer(world: World, subject: str, now: Instant) -> None:
+    """Copy from any VM that still holds newer versions, or plan a copy again."""
+    if subject == COPY_AFTER_BUSY:
+        _plan_copy(world, now)
+        return
     sources = _find_sources(world)
     if sources and not _is_copying(world):
         _start_copy(world, world.rng.choice(sources), now)
@@ -179,7 +211,8 @@
             _handle_failure(world, operation.subject, event, elapsed_s, now)
         else:
             _log_copy(world, event.snapshot, operation.subject, elapsed_s)
-            _apply_snapshot(world, event.snapshot, operation.subject, now)
+            is_large = event.n_bytes >= ANNOUNCED_COPY_MIN_BYTES
+            _apply_snapshot(world, event.snapshot, operation.subject, is_large, now)
         _plan_copy(world, now)
 
 
@@ -205,15 +238,21 @@
     elapsed_s: float,
     now: Instant,
 ) -> None:
-    """Log a failed copy, reset the source's versions and schedule a retry."""
+    """Log a failed copy and schedule a retry; reset the versions of a silent source."""
+    is_busy = event.error is not None and issubclass(event.error, SnapshotBusyError)
     log_event(
         world,
-        "WARNING",
+        "INFO" if is_busy else "WARNING",
         "snapshot_failed",
         source=source,
         elapsed_s=round(elapsed_s, 3),
         error=event.error.__name__ if event.error else "",
     )
+    if is_busy:
+        delay_s = BUSY_RETRY_S * (0.5 + 0.5 * world.rng.random())
+        due_s = now.monotonic_s + delay_s
+        start_timer(world, TimerKind.SNAPSHOT_COPY, COPY_AFTER_BUSY, due_s)
+        return
     vm = world.vms.get(source)
     if vm is not None:
         # It becomes a source again when it next reports its versions.
@@ -241,9 +280,9 @@
 
 
 def _apply_snapshot(
-    world: World, snapshot: Snapshot, source: str, now: Instant
+    world: World, snapshot: Snapshot, source: str, is_large: bool, now: Instant
 ) -> None:
-    """Apply a snapshot; announce this VM if it may have become ready."""
+    """Apply a snapshot; announce this VM if it may be ready, or may serve others."""
     is_changed = False
     if snapshot.configuration is not None:
         is_changed = _apply_configuration(world, snapshot.configuration, source, now)
@@ -255,5 +294,5 @@
     for row in snapshot.vms:
         add_listed_vm(world, row, now)
     was_ready = world.vms.fetch(world.local.vm_id).is_ready
-    if is_changed and not was_ready:
-        broadcast_heartbeat(world, now)
+    if is_changed and (is_large or not was_ready):
+        broadcast_heartbeat(world, now, include_other_zones=not was_ready)
--- a/burdockhitch/tables/registry_views.py
+++ b/burdockhitch/tables/registry_views.py
@@ -93,6 +93,18 @@
     before_version: int
 
 
+class CopyQueueRow(NamedTuple):
+    """The copies of the registry that this VM still sends to others, by estimate.
+
+    Attributes:
+        vm_id: This VM.
+        ends_at_s: Monotonic time at which the last one is expected to be sent.
+    """
+
+    vm_id: str
+    ends_at_s: float
+
+
 class MissingServerRow(NamedTuple):
     """A backend server that vanished from the registry in or soon after an outage.
 
@@ -121,6 +133,11 @@
     return Table(RegistryGapRow, key="gap_id", indexes=("part",))
 
 
+def make_copy_queues() -> Table[CopyQueueRow]:
+    """Return an empty table for the queue of copies that this VM sends."""
+    return Table(CopyQueueRow, key="vm_id")
+
+
 def make_configurations() -> Table[ConfigurationDocument]:
     """Return an empty table for the configuration in force."""
     return Table(ConfigurationDocument, key="version")
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -14,6 +14,7 @@
     ExchangeFailedError,
     PlatformHistoryGoneError,
     PlatformUnavailableError,
+    SnapshotBusyError,
 )
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import Answer
@@ -23,7 +24,11 @@
     encode_snapshot,
 )
 from burdockhitch.registry import Registry
-from burdockhitch.systems.direct.snapshots import make_snapshot
+from burdockhitch.systems.direct.snapshots import (
+    is_sending_copies,
+    make_snapshot,
+    record_sent_copy,
+)
 from burdockhitch.tables.registry_views import RegistryPart
 
 MESSAGE_DELAY_S = 0.001
@@ -207,36 +212,48 @@
 
 @handlers("ReadSnapshot")
 def read_snapshot(fleet, vm_id, command):
-    """Return a snapshot of the VM at the admin address, or an unavailable error.
+    """Return a snapshot of the VM at the admin address, or an error.
 
-    Copies from one VM use its link one after another. One that would take longer than
-    the time limit fails at that limit, but still uses the link for its whole size.
+    Copies from one VM share its link evenly. One that takes longer than the time limit
+    fails at that limit, but still uses the link for its whole size.
     """
-    body = None
-    ends_at_s = fleet.clock.elapsed_s
-    for other_id, world in fleet.worlds.items():
-        is_source = world.settings.vm.admin_address == command.admin_address
-        if is_source and (vm_id, other_id) not in fleet.blocked_links:
-            body = encode_snapshot(
-                make_snapshot(
-                    world,
-                    command.configuration_version,
-                    command.servers_version,
-                    command.n_vms,
-                    fleet.clock.now(),
-                )
-            )
-            ends_at_s = fleet.occupy_link(other_id, len(body))
-    delay_s = ends_at_s - fleet.clock.elapsed_s + 2 * MESSAGE_DELAY_S
-    if body is None:
-        event = events.SnapshotRead(command.operation_id, PlatformUnavailableError)
-    elif delay_s > SNAPSHOT_TIMEOUT_S:
-        delay_s = SNAPSHOT_TIMEOUT_S
-        event = events.SnapshotRead(command.operation_id, ExchangeFailedError)
-    else:
-        snapshot = decode_snapshot(body)
-        event = events.SnapshotRead(command.operation_id, None, snapshot)
-    fleet.later(delay_s, lambda: fleet.post(vm_id, event))
+
+    def post_result(delay_s, error, snapshot=None, n_bytes=0):
+        event = events.SnapshotRead(command.operation_id, error, snapshot, n_bytes)
+        fleet.later(delay_s, lambda: fleet.post(vm_id, event))
+
+    sources = [
+        (other_id, world)
+        for other_id, world in fleet.worlds.items()
+        if world.settings.vm.admin_address == command.admin_address
+        and (vm_id, other_id) not in fleet.blocked_links
+    ]
+    if not sources:
+        post_result(2 * MESSAGE_DELAY_S, PlatformUnavailableError)
+        return
+    source_id, world = sources[0]
+    now = fleet.clock.now()
+    if is_sending_copies(world, now):
+        post_result(2 * MESSAGE_DELAY_S, SnapshotBusyError)
+        return
+    snapshot = make_snapshot(
+        world,
+        command.configuration_version,
+        command.servers_version,
+        command.n_vms,
+        now,
+    )
+    body = encode_snapshot(snapshot)
+    record_sent_copy(world, len(body), now)
+    fleet.transfer(
+        source_id,
+        len(body),
+        lambda: post_result(
+            2 * MESSAGE_DELAY_S, None, decode_snapshot(body), len(body)
+        ),
+    )
+    # The later one of two results of an operation is ignored.
+    post_result(SNAPSHOT_TIMEOUT_S, ExchangeFailedError)
 
 
 @handlers("LogEvent")
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -1,9 +1,10 @@
 """Runs several VMs in direct mode on one fake clock, with fake adapters."""
 
 import heapq
+import math
 import random
 from itertools import count
-from typing import Any
+from typing import Any, NamedTuple
 
 from burdockhitch import events
 from burdockhitch.messages import RequestMessage
@@ -91,6 +92,21 @@
         return tuple(self.vms.values())
 
 
+class Link(NamedTuple):
+    """The link of a VM, which the copies of its registry share evenly.
+
+    Attributes:
+        updated_at_s: Time of this state on the fake clock.
+        n_sent: Bytes that a copy would have sent that was under way all the time.
+        transfers: Value of ``n_sent`` at the end, number and last call of each copy
+            under way, in the order in which they end.
+    """
+
+    updated_at_s: float
+    n_sent: float
+    transfers: tuple[tuple[float, int, Any], ...]
+
+
 class DirectFleet:
     """Several VMs whose adapters are the fakes of ``direct_edges``.
 
@@ -134,7 +150,7 @@
         self.stopped_vm_ids: set[str] = set()
         self.logs: list[tuple[str, Any]] = []
         self._scheduled_calls: list[tuple[float, int, Any]] = []
-        self._link_free_at_s: dict[str, float] = {}
+        self._links: dict[str, Link] = {}
         self._numbers = count(1)
         self._connection_ids = count(1)
 
@@ -213,14 +229,43 @@
         due_s = self.clock.elapsed_s + delay_s
         heapq.heappush(self._scheduled_calls, (due_s, next(self._numbers), call))
 
-    def occupy_link(self, vm_id: str, n_bytes: int) -> float:
-        """Queue a copy on a VM's link; return when it ends, in elapsed seconds."""
+    def transfer(self, vm_id: str, n_bytes: int, call: Any) -> None:
+        """Call after a VM has sent a number of bytes, besides its other transfers."""
         self.snapshot_bytes.append(n_bytes)
-        free_at_s = self._link_free_at_s.get(vm_id, 0.0)
-        starts_at_s = max(free_at_s, self.clock.elapsed_s)
-        ends_at_s = starts_at_s + n_bytes / self.link_bytes_per_s
-        self._link_free_at_s[vm_id] = ends_at_s
-        return ends_at_s
+        if math.isinf(self.link_bytes_per_s):
+            call()
+            return
+        link = self._advance_link(vm_id)
+        transfer = (link.n_sent + n_bytes, next(self._numbers), call)
+        self._links[vm_id] = link._replace(
+            transfers=tuple(sorted((*link.transfers, transfer)))
+        )
+        self._schedule_transfer_end(vm_id)
+
+    def _advance_link(self, vm_id: str) -> Link:
+        """Return the state of a VM's link now."""
+        now_s = self.clock.elapsed_s
+        link = self._links.get(vm_id) or Link(now_s, 0.0, ())
+        elapsed_s = now_s - link.updated_at_s
+        n_sent = elapsed_s * self.link_bytes_per_s / max(1, len(link.transfers))
+        return link._replace(updated_at_s=now_s, n_sent=link.n_sent + n_sent)
+
+    def _schedule_transfer_end(self, vm_id: str) -> None:
+        link = self._links[vm_id]
+        if not link.transfers:
+            return
+        n_left = (link.transfers[0][0] - link.n_sent) * len(link.transfers)
+        delay_s = max(0.0, n_left / self.link_bytes_per_s)
+
+        def end_transfer() -> None:
+            # A transfer that started meanwhile has scheduled another call.
+            if self._links[vm_id] == link:
+                advanced = self._advance_link(vm_id)
+                self._links[vm_id] = advanced._replace(transfers=link.transfers[1:])
+                link.transfers[0][2]()
+                self._schedule_transfer_end(vm_id)
+
+        self.later(delay_s, end_transfer)
 
     def tick(self, vm_id: str) -> None:
         """Run one tick of a VM and its commands; schedule another if events remain."""
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -12,7 +12,7 @@
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.registry_reads import is_reader
 from burdockhitch.systems.direct.servers import apply_servers
-from burdockhitch.systems.direct.snapshots import make_snapshot
+from burdockhitch.systems.direct.snapshots import make_snapshot, record_sent_copy
 from burdockhitch.tables.registry_views import RegistryPart
 from burdockhitch.tables.vms import VmRow, VmStatus
 from burdockhitch.tests.direct_fakes import (
@@ -187,18 +187,24 @@
     return lambda world: world.backend_servers.fetch(name).is_draining
 
 
-def configure_many_routes(fleet):
+def configure_1400_routes(fleet):
     fleet.configure(7, *make_routes(1400))
     return lambda world: len(world.prefix_routes) == 1400
 
 
+def configure_4000_routes(fleet):
+    fleet.configure(7, *make_routes(4000))
+    return lambda world: len(world.prefix_routes) == 4000
+
+
 @pytest.mark.parametrize(
     ("make_change", "spread_max_s"),
     [
         (add_servers, CONFIGURATION_SPREAD_MAX_S),
         (configure_after_a_series, CONFIGURATION_SPREAD_MAX_S),
         (drain_after_a_series, DRAIN_SPREAD_MAX_S),
-        (configure_many_routes, CONFIGURATION_SPREAD_MAX_S),
+        (configure_1400_routes, CONFIGURATION_SPREAD_MAX_S),
+        (configure_4000_routes, CONFIGURATION_SPREAD_MAX_S),
     ],
 )
 def test_copies_over_a_congested_link_do_not_delay_a_change(make_change, spread_max_s):
@@ -322,10 +328,15 @@
 
 
 class CopyRequest(NamedTuple):
-    """The fields of an HTTP request that serving a copy needs."""
+    """The part of an HTTP request that serving a copy needs."""
 
     path: bytes
     args: dict[bytes, list[bytes]]
+    statuses: list[int]
+
+    def setResponseCode(self, status):  # noqa: N802
+        """Record the status of the answer."""
+        self.statuses.append(status)
 
 
 def test_a_copy_is_encoded_once_for_all_copiers_with_the_same_versions():
@@ -334,7 +345,7 @@
     read_servers_in_steps(world)
     resource = PeerResource(world)
     first, second, other = (
-        resource.render(CopyRequest(b"/snapshot", {b"servers": [version]}))
+        resource.render(CopyRequest(b"/snapshot", {b"servers": [version]}, []))
         for version in (b"20", b"20", b"30")
     )
     assert first is second
@@ -342,6 +353,32 @@
     assert decode_snapshot(other) == make_snapshot(world, 0, 30, 0, world.clock.now())
 
 
+@pytest.mark.parametrize(
+    ("sent_bytes", "after_s", "statuses"),
+    [
+        ([], 0.0, []),
+        ([90_000], 0.0, []),
+        ([90_000, 90_000], 0.0, [503]),
+        ([90_000, 90_000], 0.05, [503]),
+        ([90_000, 90_000], 0.1, []),
+        ([900_000], 0.0, [503]),
+        ([900_000], 0.85, []),
+    ],
+)
+def test_a_vm_that_still_sends_copies_refuses_to_send_more(
+    sent_bytes, after_s, statuses
+):
+    fleet = DirectFleet()
+    world = fleet.add_vm("vm-0")
+    read_servers_in_steps(world)
+    for n_bytes in sent_bytes:
+        record_sent_copy(world, n_bytes, fleet.clock.now())
+    fleet.clock.elapsed_s += after_s
+    request = CopyRequest(b"/snapshot", {}, [])
+    body = PeerResource(world).render(request)
+    assert (request.statuses, bool(body)) == (statuses, not statuses)
+
+
 def test_vms_of_a_zone_that_lost_each_other_meet_again():
     fleet = start_fleet(n_vms=4)
     cut_links = {("vm-0", "vm-2"), ("vm-2", "vm-0")}
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -88,6 +88,7 @@
     registry_views: Table[registry_views.RegistryViewRow]
     registry_changes: Table[registry_views.RegistryChangeRow]
     registry_gaps: Table[registry_views.RegistryGapRow]
+    copy_queues: Table[registry_views.CopyQueueRow]
     missing_servers: Table[registry_views.MissingServerRow]
     configurations: Table[registry_views.ConfigurationDocument]
     prefix_routes: Table[prefix_routes.PrefixRouteRow]
@@ -164,6 +165,7 @@
         registry_views=registry_views.make_registry_views(),
         registry_changes=registry_views.make_registry_changes(),
         registry_gaps=registry_views.make_registry_gaps(),
+        copy_queues=registry_views.make_copy_queues(),
         missing_servers=registry_views.make_missing_servers(),
         configurations=registry_views.make_configurations(),
         prefix_routes=prefix_routes.make_prefix_routes(),
