Answer requests that arrive as the listeners close

What callers saw: a VM that is stopped as planned reset a connection, and the request that its caller had already sent on it.

Cause: Twisted's stopListening closes the socket in the next pass of the loop and accepts nothing until then; the kernel then resets the connections that wait in the queue. A leaving VM gets a new connection for almost each request, since it closes each after its answer. On the platform front end, idle connections were also closed while a request on them was waiting to be read.

Evidence: the new test sends a request that the loop has not read when the listeners close, on a new and on a kept connection, with both front ends. Before, it failed in 3 of 4 cases: reset twice, on new connections; closed without an answer on the kept connection of the platform front end. All pass now.

Why it works: waiting connections are accepted and the socket is closed right after, in one call. Their requests are then in progress, which the shutdown waits for.

What remains: microseconds between the last accept and the close.

--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -12,7 +12,7 @@
 from burdockhitch import commands, events, log, systems
 from burdockhitch.adapters import callers, links, platform, servers
 from burdockhitch.adapters.admin import AdminApp
-from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
+from burdockhitch.adapters.listening import EXIT_DELAY_S, listen, stop_listening
 from burdockhitch.adapters.loop import Ticker
 from burdockhitch.adapters.process import Process, command_handlers
 from burdockhitch.adapters.running import initialise_world, run_loop
@@ -40,9 +40,7 @@
 @command_handlers("CloseListeners")
 def close_listeners(process: Process, _command: commands.CloseListeners) -> None:
     """Stop accepting connections."""
-    for port in process.ports:
-        port.stopListening()
-    process.ports.clear()
+    stop_listening(process.ports)
 
 
 @command_handlers("StopProcess")
--- a/burdockhitch/adapters/listening.py
+++ b/burdockhitch/adapters/listening.py
@@ -1,14 +1,19 @@
-"""Opens the listening TCP sockets of a daemon."""
+"""Opens and closes the listening TCP sockets of a daemon."""
 
+import select
 from typing import Any
 
-from twisted.internet.error import CannotListenError
+from twisted.internet.error import CannotListenError, ConnectionDone
+from twisted.python.failure import Failure
 from twisted.web.server import Site
 
 from burdockhitch.errors import ListenError
 
 # Time to write the last answers before the process ends.
 EXIT_DELAY_S = 0.2
+# Most times that waiting connections are accepted before a listener closes. Each time
+# accepts at least one of them.
+LAST_ACCEPTS_MAX = 200
 
 
 def listen(reactor: Any, address: str, site: Site, ports: list[Any]) -> None:
@@ -28,3 +33,30 @@
         ports.append(reactor.listenTCP(int(port), site, interface=host))
     except CannotListenError as error:
         raise ListenError(f"{address}: {error.socketError}") from error
+
+
+def is_readable(transport: Any) -> bool:
+    """Return whether data or connections wait to be read from a socket."""
+    poll = select.poll()
+    poll.register(transport.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def stop_listening(ports: list[Any]) -> None:
+    """Close listening ports, after accepting the connections that wait there.
+
+    The kernel resets those that wait when a listener closes, and their callers may
+    already have sent requests.
+
+    Args:
+        ports: Listening ports; the list is cleared.
+    """
+    for port in ports:
+        for _ in range(LAST_ACCEPTS_MAX):
+            if not is_readable(port):
+                break
+            port.doRead()
+        # Unlike stopListening, this closes the socket now, not in the next pass of the
+        # loop, until which more connections would arrive.
+        port.connectionLost(Failure(ConnectionDone()))
+    ports.clear()
--- a/burdockhitch/platform/callers.py
+++ b/burdockhitch/platform/callers.py
@@ -11,6 +11,7 @@
 from burdockhitch import commands, events
 from burdockhitch.adapters import headers
 from burdockhitch.adapters.bodies import BoundedRequest
+from burdockhitch.adapters.listening import is_readable
 from burdockhitch.messages import RequestMessage
 from burdockhitch.platform import names
 from burdockhitch.platform.documents import WireAddresses
@@ -57,9 +58,9 @@
         self.open_channels: set[CallerChannel] = set()
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
+        """Close the connections on which no request is in progress or has arrived."""
         for channel in list(self.open_channels):
-            if not channel.requests:
+            if not channel.requests and not is_readable(channel.transport):
                 channel.loseConnection()
 
 
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -10,7 +10,7 @@
 from burdockhitch import commands, events, log
 from burdockhitch.adapters.connections import ConnectionPool
 from burdockhitch.adapters.datagrams import Datagrams
-from burdockhitch.adapters.listening import EXIT_DELAY_S, listen
+from burdockhitch.adapters.listening import EXIT_DELAY_S, listen, stop_listening
 from burdockhitch.adapters.loop import Ticker
 from burdockhitch.adapters.running import initialise_world, run_loop
 from burdockhitch.adapters.signals import SignalHandlers
@@ -48,8 +48,7 @@
     for port in process.ports:
         if isinstance(port.factory, callers.CallerSite):
             port.factory.close_idle()
-        port.stopListening()
-    process.ports.clear()
+    stop_listening(process.ports)
 
 
 @command_handlers("StopProcess")
--- a/burdockhitch/tests/test_listening.py
+++ b/burdockhitch/tests/test_listening.py
@@ -1,14 +1,21 @@
 """Tests listening on addresses, and the choice of free ports for test fleets."""
 
 import socket
+import time
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from twisted.internet.selectreactor import SelectReactor
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
+from burdockhitch import commands
+from burdockhitch.adapters import daemon
 from burdockhitch.adapters.listening import listen
 from burdockhitch.errors import ListenError
+from burdockhitch.platform import callers as platform_callers
+from burdockhitch.platform import daemon as platform_daemon
 from tools.fleet import PORT_MAX, PORT_MIN, find_free_addresses
 
 
@@ -43,3 +50,60 @@
     for port in ports:
         port.stopListening()
     other_socket.close()
+
+
+class EchoResource(Resource):
+    """Answers each GET request with its path."""
+
+    isLeaf = True  # noqa: N815
+
+    def render_GET(self, request):  # noqa: N802
+        return request.path
+
+
+FRONT_ENDS: list[Any] = [
+    (daemon.close_listeners, Site),
+    (platform_daemon.close_listeners, platform_callers.CallerSite),
+]
+
+
+def run_loop_until(reactor, client, timeout_s=1.0):
+    """Run the loop until the client has something to read, and return it."""
+    client.setblocking(False)
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        reactor.iterate(0.01)
+        try:
+            return client.recv(4096)
+        except BlockingIOError:
+            continue
+    return b"nothing"
+
+
+def send_get(client, path):
+    client.sendall(f"GET {path} HTTP/1.1\r\nHost: a.example\r\n\r\n".encode())
+
+
+@pytest.mark.parametrize("n_answered", [0, 1], ids=["new", "kept alive"])
+@pytest.mark.parametrize(
+    ("close_listeners", "make_site"), FRONT_ENDS, ids=["native", "platform"]
+)
+def test_closing_the_listeners_breaks_no_request_that_has_arrived(
+    close_listeners, make_site, n_answered
+):
+    reactor = SelectReactor()
+    (address,) = find_free_addresses(1)
+    ports = []
+    listen(reactor, address, make_site(EchoResource()), ports)
+    host, _, port = address.rpartition(":")
+    client = socket.create_connection((host, int(port)), timeout=1.0)
+    for _ in range(n_answered):
+        send_get(client, "/before")
+        assert run_loop_until(reactor, client).endswith(b"/before")
+    send_get(client, "/crossing")
+    # The loop has not read this request yet, nor accepted a new connection.
+    close_listeners(SimpleNamespace(ports=ports), commands.CloseListeners())
+    assert run_loop_until(reactor, client).endswith(b"/crossing")
+    client.close()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection((host, int(port)), timeout=1.0)
