Keep the logs of a failing fleet, and say why a request broke

What was missing: the one broken request of the known red of stop_vm could not be traced, since the folder with the logs was removed and the record of the callers named neither VM nor cause.

The folder of a fleet stays if an error leaves its block, and a note of the error names it; the checks of the fault tests are inside the block, and show the records of the requests instead of their number. A record has the VM and, if there was no answer, the errors. The checks are as strict as before.

A test shows that a failing run keeps its folder and that any other removes it.

--- a/burdockhitch/tests/test_processes.py
+++ b/burdockhitch/tests/test_processes.py
@@ -5,6 +5,7 @@
 """
 
 import os
+import shutil
 import signal
 import time
 from collections import Counter
@@ -38,8 +39,8 @@
 
     records: list[dict[str, Any]]
 
-    def count(self, outcome):
-        return sum(record["outcome"] == outcome for record in self.records)
+    def with_outcome(self, outcome):
+        return [record for record in self.records if record["outcome"] == outcome]
 
 
 def send_during(fleet, cause_fault):
@@ -112,22 +113,35 @@
             for server in running_servers
             for record in tool.get_json(server.address, "/standin/records")["records"]
         )
-    run_twice = [
-        body for (method, body), n in n_runs.items() if method == "POST" and n > 1
-    ]
-    false_refusals = [
-        record["body"]
-        for record in caller_records.records
-        if record["outcome"] == "not-run" and n_runs[record["method"], record["body"]]
-    ]
-    assert all(record["is_own"] for record in caller_records.records)
-    assert run_twice == []
-    assert false_refusals == []
-    assert caller_records.count("answered") > 0
-    assert caller_records.count("error") == 0
-    if cause_fault is stop_vm:
-        assert caller_records.count("broken") == 0
-        assert caller_records.count("outcome-unknown") == 0
+        run_twice = [
+            body for (method, body), n in n_runs.items() if method == "POST" and n > 1
+        ]
+        false_refusals = [
+            record["body"]
+            for record in caller_records.records
+            if record["outcome"] == "not-run"
+            and n_runs[record["method"], record["body"]]
+        ]
+        assert all(record["is_own"] for record in caller_records.records)
+        assert run_twice == []
+        assert false_refusals == []
+        assert caller_records.with_outcome("answered") != []
+        assert caller_records.with_outcome("error") == []
+        if cause_fault is stop_vm:
+            assert caller_records.with_outcome("broken") == []
+            assert caller_records.with_outcome("outcome-unknown") == []
+
+
+@pytest.mark.parametrize("is_failing", [False, True])
+def test_only_a_failing_run_keeps_its_logs(is_failing):
+    try:
+        with tool.run_fleet([], [], "service s floor=0slots # K\n") as fleet:
+            if is_failing:
+                raise AssertionError
+    except AssertionError as error:
+        assert any(str(fleet.folder) in note for note in error.__notes__)
+    assert (fleet.folder / "platform.log").exists() == is_failing
+    shutil.rmtree(fleet.folder, ignore_errors=True)
 
 
 def test_a_request_lost_with_its_vm_is_listed_by_another_vm():
--- a/tools/callers.py
+++ b/tools/callers.py
@@ -50,6 +50,8 @@
             ``server error`` for status 500 and ``error`` for the rest.
         latency_s: Seconds from the start of the request to its end.
         at_s: Unix time of its end.
+        address: Entry VM that got the request.
+        detail: Why a request was ``refused`` or ``broken``; empty for other outcomes.
         is_own: False if a successful answer lacks this request's body, else True.
     """
 
@@ -59,6 +61,8 @@
     outcome: str
     latency_s: float
     at_s: float
+    address: str
+    detail: str
     is_own: bool
 
 
@@ -113,11 +117,19 @@
             timeout=TIMEOUT_S,
         )
 
-        def add_record(outcome: str, is_own: bool = True) -> None:
+        def add_record(outcome: str, detail: str = "", is_own: bool = True) -> None:
             latency_s = time.perf_counter() - started_s
             at_s = clock.now().utc.timestamp()
             record = CallerRecord(
-                body, kind.method, kind.path, outcome, latency_s, at_s, is_own
+                body,
+                kind.method,
+                kind.path,
+                outcome,
+                latency_s,
+                at_s,
+                address,
+                detail,
+                is_own,
             )
             self.records.append(record)
 
@@ -127,12 +139,15 @@
 
             def check_body(content: bytes) -> None:
                 is_own = result != "answered" or json.loads(content)["body"] == body
-                add_record(result, is_own)
+                add_record(result, is_own=is_own)
 
             return treq.content(answer).addCallback(check_body)
 
         def record_failure(failure: Failure) -> None:
-            add_record("refused" if failure.check(ConnectError) else "broken")
+            outcome = "refused" if failure.check(ConnectError) else "broken"
+            # Failures of the agent hold their causes in ``reasons``.
+            causes = getattr(failure.value, "reasons", [failure])
+            add_record(outcome, ", ".join(repr(cause.value) for cause in causes))
 
         return pending_answer.addCallback(read_answer).addErrback(record_failure)
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -74,7 +75,8 @@
     """A started fleet.
 
     Attributes:
-        folder: Settings, rules and log files; removed when the fleet ends.
+        folder: Settings, rules and log files; removed when the fleet ends without an
+            error.
         platform_address: Address of the platform's stand-in.
         platform: Process of the platform's stand-in.
         vms: Entry VMs.
@@ -316,6 +318,8 @@
 ) -> Iterator[Fleet]:
     """Run a fleet for the length of the block; end its processes in any case.
 
+    Its folder is removed, unless an error leaves the block.
+
     Args:
         vm_plans: Entry VMs.
         server_plans: Backend servers.
@@ -323,14 +327,19 @@
         extra_settings: Further lines of every VM's settings file.
     """
     processes: list[Any] = []
-    with tempfile.TemporaryDirectory(prefix="burdockhitch-") as folder_path:
-        folder = Path(folder_path)
-        try:
-            yield _start_fleet(
-                folder, processes, vm_plans, server_plans, other_rules, extra_settings
-            )
-        finally:
-            kill_processes(processes)
+    folder = Path(tempfile.mkdtemp(prefix="burdockhitch-"))
+    try:
+        yield _start_fleet(
+            folder, processes, vm_plans, server_plans, other_rules, extra_settings
+        )
+    except Exception as error:
+        error.add_note(f"The logs of the fleet stay in {folder}.")
+        raise
+    else:
+        kill_processes(processes)
+        shutil.rmtree(folder)
+    finally:
+        kill_processes(processes)
 
 
 def _start_fleet(
