Close kept connections of callers with the listeners, new ones after an answer

What callers saw: on the product's own interface, a kept connection that had been idle since before the planned stop stayed open until the process ended. The VM still accepts a request on it in the last 0.2 s, after its last check, and then ends with it: broken. On the platform front end, a connection accepted just before the listeners closed was closed before its first request came.

Both front ends now use one site, which closes only connections that have carried a request and have none waiting.

What remains: a request that crosses the close of a kept connection on the network, which HTTP leaves to the caller to repeat; and a new connection whose first request comes more than 0.3 s later.

--- a/burdockhitch/adapters/callers.py
+++ b/burdockhitch/adapters/callers.py
@@ -6,11 +6,11 @@
 import msgspec
 from klein import Klein
 from twisted.internet.defer import Deferred
-from twisted.web.server import Site
 
 from burdockhitch import commands, events
 from burdockhitch.adapters import headers
 from burdockhitch.adapters.bodies import BoundedRequest
+from burdockhitch.adapters.listening import CallerSite
 from burdockhitch.adapters.process import Process, command_handlers
 from burdockhitch.errors import BodyTooLargeError, error_name
 from burdockhitch.messages import Refusal, RequestMessage
@@ -185,11 +185,11 @@
     answer_deferred.callback(msgspec.json.encode(document))
 
 
-def make_site(process: Process) -> Site:
+def make_site(process: Process) -> CallerSite:
     """Return the site for the callers' listening port."""
     body_max_bytes = process.world.settings.callers.body_max_bytes
     request_type = type(
         "CallerRequest", (BoundedRequest,), {"body_max_bytes": body_max_bytes}
     )
     caller_app = CallerApp(process.callers, process.ticker.post)
-    return Site(caller_app.app.resource(), requestFactory=request_type)
+    return CallerSite(caller_app.app.resource(), requestFactory=request_type)
--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -39,7 +39,7 @@
 
 @command_handlers("CloseListeners")
 def close_listeners(process: Process, _command: commands.CloseListeners) -> None:
-    """Stop accepting connections."""
+    """Stop accepting connections and close idle ones."""
     stop_listening(process.ports)
 
 
--- a/burdockhitch/platform/callers.py
+++ b/burdockhitch/platform/callers.py
@@ -4,14 +4,13 @@
 from typing import Any
 
 import msgspec
-from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
 from burdockhitch import commands, events
 from burdockhitch.adapters import headers
 from burdockhitch.adapters.bodies import BoundedRequest
-from burdockhitch.adapters.listening import is_readable
+from burdockhitch.adapters.listening import CallerChannel, CallerSite
 from burdockhitch.messages import RequestMessage
 from burdockhitch.platform import names
 from burdockhitch.platform.documents import WireAddresses
@@ -31,37 +30,17 @@
 STATUS_TOO_LARGE = 413
 
 
-class CallerChannel(HTTPChannel):
+class PlatformChannel(CallerChannel):
     """A caller's connection that accepts headers up to ``HEADER_MAX_BYTES``."""
 
     totalHeadersSize = HEADER_MAX_BYTES
     MAX_LENGTH = HEADER_MAX_BYTES
 
-    def connectionMade(self) -> None:
-        """Add the connection to the site's open connections."""
-        super().connectionMade()
-        self.factory.open_channels.add(self)
 
-    def connectionLost(self, reason: Any) -> None:
-        """Remove the connection from the site's open connections."""
-        self.factory.open_channels.discard(self)
-        super().connectionLost(reason)
+class PlatformSite(CallerSite):
+    """Site whose connections accept headers up to ``HEADER_MAX_BYTES``."""
 
-
-class CallerSite(Site):
-    """Site that keeps track of the open connections of callers."""
-
-    protocol = CallerChannel
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self.open_channels: set[CallerChannel] = set()
-
-    def close_idle(self) -> None:
-        """Close the connections on which no request is in progress or has arrived."""
-        for channel in list(self.open_channels):
-            if not channel.requests and not is_readable(channel.transport):
-                channel.loseConnection()
+    protocol = PlatformChannel
 
 
 class CallerHttpRequest(BoundedRequest):
@@ -243,9 +222,9 @@
     return str((request.args.get(name) or [b""])[0].decode("ascii", "replace"))
 
 
-def make_caller_site(process: PlatformProcess) -> CallerSite:
+def make_caller_site(process: PlatformProcess) -> PlatformSite:
     """Return the site for the callers' listening port."""
-    return CallerSite(
+    return PlatformSite(
         CallerResource(process),
         requestFactory=CallerHttpRequest,
         timeout=IDLE_TIMEOUT_S,
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -45,9 +45,6 @@
     process: PlatformProcess, _command: commands.CloseListeners
 ) -> None:
     """Stop accepting connections and close idle ones."""
-    for port in process.ports:
-        if isinstance(port.factory, callers.CallerSite):
-            port.factory.close_idle()
     stop_listening(process.ports)
 
 
--- a/burdockhitch/tests/test_listening.py
+++ b/burdockhitch/tests/test_listening.py
@@ -12,7 +12,7 @@
 
 from burdockhitch import commands
 from burdockhitch.adapters import daemon
-from burdockhitch.adapters.listening import listen
+from burdockhitch.adapters.listening import CallerSite, listen
 from burdockhitch.errors import ListenError
 from burdockhitch.platform import callers as platform_callers
 from burdockhitch.platform import daemon as platform_daemon
@@ -62,8 +62,8 @@
 
 
 FRONT_ENDS: list[Any] = [
-    (daemon.close_listeners, Site),
-    (platform_daemon.close_listeners, platform_callers.CallerSite),
+    (daemon.close_listeners, CallerSite),
+    (platform_daemon.close_listeners, platform_callers.PlatformSite),
 ]
 
 
@@ -84,6 +84,31 @@
     client.sendall(f"GET {path} HTTP/1.1\r\nHost: a.example\r\n\r\n".encode())
 
 
+def connect(reactor, make_site):
+    """Return a listening port's list, its address, and a client connected to it."""
+    (address,) = find_free_addresses(1)
+    ports = []
+    listen(reactor, address, make_site(EchoResource()), ports)
+    host, _, port = address.rpartition(":")
+    client = socket.create_connection((host, int(port)), timeout=1.0)
+    return ports, (host, int(port)), client
+
+
+@pytest.mark.parametrize(
+    ("close_listeners", "make_site"), FRONT_ENDS, ids=["native", "platform"]
+)
+def test_idle_connections_close_with_the_listeners_not_under_a_later_request(
+    close_listeners, make_site
+):
+    reactor = SelectReactor()
+    ports, _, client = connect(reactor, make_site)
+    send_get(client, "/before")
+    assert run_loop_until(reactor, client).endswith(b"/before")
+    close_listeners(SimpleNamespace(ports=ports), commands.CloseListeners())
+    assert run_loop_until(reactor, client) == b""
+    client.close()
+
+
 @pytest.mark.parametrize("n_answered", [0, 1], ids=["new", "kept alive"])
 @pytest.mark.parametrize(
     ("close_listeners", "make_site"), FRONT_ENDS, ids=["native", "platform"]
@@ -92,11 +117,7 @@
     close_listeners, make_site, n_answered
 ):
     reactor = SelectReactor()
-    (address,) = find_free_addresses(1)
-    ports = []
-    listen(reactor, address, make_site(EchoResource()), ports)
-    host, _, port = address.rpartition(":")
-    client = socket.create_connection((host, int(port)), timeout=1.0)
+    ports, address, client = connect(reactor, make_site)
     for _ in range(n_answered):
         send_get(client, "/before")
         assert run_loop_until(reactor, client).endswith(b"/before")
@@ -106,4 +127,22 @@
     assert run_loop_until(reactor, client).endswith(b"/crossing")
     client.close()
     with pytest.raises(ConnectionRefusedError):
-        socket.create_connection((host, int(port)), timeout=1.0)
+        socket.create_connection(address, timeout=1.0)
+
+
+@pytest.mark.parametrize("is_accepted", [False, True])
+@pytest.mark.parametrize(
+    ("close_listeners", "make_site"), FRONT_ENDS, ids=["native", "platform"]
+)
+def test_a_new_connection_gets_its_first_answer_after_the_listeners_closed(
+    close_listeners, make_site, is_accepted
+):
+    reactor = SelectReactor()
+    ports, _, client = connect(reactor, make_site)
+    if is_accepted:
+        assert run_loop_until(reactor, client, timeout_s=0.1) == b"nothing"
+    close_listeners(SimpleNamespace(ports=ports), commands.CloseListeners())
+    assert run_loop_until(reactor, client, timeout_s=0.1) == b"nothing"
+    send_get(client, "/first")
+    assert run_loop_until(reactor, client).endswith(b"/first")
+    client.close()
