--- a/burdockhitch/platform/callers.py
+++ b/burdockhitch/platform/callers.py
@@ -4,13 +4,13 @@
 from typing import Any
 
 import msgspec
-from twisted.web.http import HTTPChannel
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
 from burdockhitch import commands, events
 from burdockhitch.adapters import headers
 from burdockhitch.adapters.bodies import BoundedRequest
+from burdockhitch.adapters.listening import CallerChannel, CallerSite
 from burdockhitch.messages import RequestMessage
 from burdockhitch.platform import names
 from burdockhitch.platform.documents import WireAddresses
@@ -31,31 +31,21 @@
 STATUS_TOO_LARGE = 413
 
 
-class CallerChannel(HTTPChannel):
+class PlatformChannel(CallerChannel):
     """A caller's connection that accepts headers up to ``HEADER_MAX_BYTES``."""
 
     totalHeadersSize = HEADER_MAX_BYTES
     MAX_LENGTH = HEADER_MAX_BYTES
 
-    def connectionMade(self) -> None:
-        """Add the connection to the site's open connections."""
-        super().connectionMade()
-        self.factory.open_channels.add(self)
 
-    def connectionLost(self, reason: Any) -> None:
-        """Remove the connection from the site's open connections."""
-        self.factory.open_channels.discard(self)
-        super().connectionLost(reason)
-
-
-class CallerSite(Site):
-    """Site that keeps track of the open connections of callers.
+class PlatformSite(CallerSite):
+    """Site whose connections accept headers up to ``HEADER_MAX_BYTES``.
 
     Args:
         process: Context with the open requests and the ticker.
     """
 
-    protocol = CallerChannel
+    protocol = PlatformChannel
 
     def __init__(self, process: PlatformProcess) -> None:
         super().__init__(
@@ -64,7 +54,6 @@
             timeout=IDLE_TIMEOUT_S,
         )
         self._world = process.world
-        self.open_channels: set[CallerChannel] = set()
 
     def read_body_max_bytes(self) -> int:
         """Return the size limit of a body by the configuration in force."""
@@ -72,12 +61,6 @@
             return configuration.body_max_bytes
         return BODY_MAX_BYTES
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
-        for channel in list(self.open_channels):
-            if not channel.requests:
-                channel.loseConnection()
-
 
 class CallerHttpRequest(BoundedRequest):
     """A caller's request, with its body limited by the configuration."""
@@ -262,9 +245,9 @@
     return str((request.args.get(name) or [b""])[0].decode("ascii", "replace"))
 
 
-def make_caller_site(process: PlatformProcess) -> CallerSite:
+def make_caller_site(process: PlatformProcess) -> PlatformSite:
     """Return the site for the callers' listening port."""
-    return CallerSite(process)
+    return PlatformSite(process)
 
 
 def make_directory_site(process: PlatformProcess) -> Site:
