Bound copies of the registry by the capacity of the VM's own link

The bound on copies at once assumed a link of 10 Mbit/s on all VMs, so VMs with a wider one refused copies without need. It now uses the link's capacity from the settings. The tests of congested links state 10 Mbit/s; they pass as before (test_direct_registry).

--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -38,8 +38,9 @@
 COPY_RETRY_S = 0.2
 # Longest delay until this VM asks a VM of its zone again, after all were busy.
 BUSY_RETRY_S = 0.1
-# Speed at which copies are expected to be sent: most of a link of 10 Mbit/s.
-COPY_BYTES_PER_S = 1e6
+BYTES_PER_MBIT = 125_000
+# Fraction of the link at which copies are expected to be sent.
+COPY_LINK_FRACTION = 0.8
 # Longest time that a copy may wait for others. More copies at once only delay each
 # other beyond their time limit, while VMs that already got one could serve the rest.
 COPY_QUEUE_MAX_S = 0.1
@@ -127,7 +128,8 @@
 
 def record_sent_copy(world: World, n_bytes: int, now: Instant) -> None:
     """Record that this VM began to send a copy."""
-    ends_at_s = _sent_at_s(world, now) + n_bytes / COPY_BYTES_PER_S
+    bytes_per_s = COPY_LINK_FRACTION * world.settings.direct.link_mbps * BYTES_PER_MBIT
+    ends_at_s = _sent_at_s(world, now) + n_bytes / bytes_per_s
     world.copy_queues.put(CopyQueueRow(world.local.vm_id, ends_at_s))
 
 
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -234,7 +234,7 @@
     for name in server_names(0, DEPLOYMENT_SERVERS):
         fleet.add_server(name)
     for number in range(ZONE_VMS):
-        fleet.add_vm(f"vm-{number}")
+        fleet.add_vm(f"vm-{number}", link_mbps=LINK_BYTES_PER_S / 125_000)
     fleet.run(5.0)
     fleet.link_bytes_per_s = LINK_BYTES_PER_S
     return fleet
--- a/burdockhitch/tests/test_platform_documents.py
+++ b/burdockhitch/tests/test_platform_documents.py
@@ -256,6 +256,7 @@
     "bounds.retryBudgetRatio": "0.2",
     "bounds.budgetWindowS": "10",
     "bounds.retryBudgetSlack": "176",
+    "limits.linkMbps": "10",
 }
 
 
@@ -275,6 +276,7 @@
     assert settings.membership.seeds == ("10.1.0.9:7720", "10.2.0.9:7720")
     assert settings.direct.drain_s == 2.5
     assert settings.direct.retry_slack == 176
+    assert settings.direct.link_mbps == 10
     assert settings.vm.message_address == "10.1.0.1:7720"
 
 
@@ -287,6 +289,7 @@
         ("bounds.drainS", "soon", "drain"),
         ("bounds.graceS", "0", "grace"),
         ("bounds.retryBudgetRatio", "-1", "retry_ratio"),
+        ("limits.linkMbps", "0", "link_mbps"),
     ],
 )
 def test_an_invalid_setting_is_an_error_that_names_its_key(field, value, key, tmp_path):
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -142,6 +142,7 @@
         "listen.directory": f"{ip}:{directory_port}",
         "listen.readiness": f"{ip}:{readiness_port}",
         "internalPorts.0": message_port,
+        "limits.linkMbps": "1000",
         "platform.address": store,
         "seeds": f"127.0.1.1:{admin_port}",
         "bounds.drainS": "2",
