Let another VM forward each zone's reports, compressed and behind small messages

Cause: the first VM in rank forwarded the reports of all other zones: four zones, five a second, 3.3 KB to 25 VMs make 1.7 MB a second on a link of 1.25 MB. A queue of 1 MB only made what arrived 1.7 s old.

Now the order of the receivers depends on the reported zone, so another VM forwards each zone; datagrams above 1 KB are compressed (3,267 to 1,329 bytes with 115 servers of random names), small messages overtake large ones, and a large one that would wait for more than 0.3 s is dropped, since a newer one follows.

Tests: at most two of five zones' reports are forwarded by one VM of 8; heartbeats aren't held up by reports; malformed compressed datagrams are rejected with a type.

--- a/burdockhitch/adapters/datagrams.py
+++ b/burdockhitch/adapters/datagrams.py
@@ -6,6 +6,7 @@
 current state.
 """
 
+import zlib
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -25,14 +26,36 @@
 # Most that is sent at once, about 13 ms of a link of 10 Mbit/s.
 BURST_MAX_BYTES = 16 * 1024
 BURST_PAUSE_S = 0.015
-# Messages that would wait longer than these bytes take are outdated when they are sent.
-UNSENT_MAX_BYTES = 1024 * 1024
+# Messages up to this size are sent before larger ones.
+SMALL_MAX_BYTES = 1024
+# Larger ones that would wait for longer than this are dropped: a newer one follows.
+BULK_WAIT_MAX_S = 0.3
+# Larger datagrams are compressed.
+PLAIN_MAX_BYTES = 1024
+COMPRESSION_LEVEL = 1
+# First byte of compressed datagrams; others begin with a list in MessagePack.
+ZLIB_FIRST_BYTE = 0x78
 _decoder = msgspec.msgpack.Decoder(list[bytes])
 
 
 def pack_message(fleet: str, sender_vm_id: str, message: Any) -> bytes:
-    """Encode a message as one datagram."""
-    return msgspec.msgpack.encode(encode_message(fleet, sender_vm_id, message))
+    """Encode a message as one datagram, compressed if it is large."""
+    datagram = msgspec.msgpack.encode(encode_message(fleet, sender_vm_id, message))
+    if len(datagram) <= PLAIN_MAX_BYTES:
+        return datagram
+    return zlib.compress(datagram, COMPRESSION_LEVEL)
+
+
+def _decompress(datagram: bytes) -> bytes:
+    """Return the content of a compressed datagram, up to ``DATAGRAM_MAX_BYTES``.
+
+    Raises:
+        MessageFormatError: If it is not compressed correctly.
+    """
+    try:
+        return zlib.decompressobj().decompress(datagram, DATAGRAM_MAX_BYTES)
+    except zlib.error as error:
+        raise MessageFormatError(str(error)) from None
 
 
 def unpack_frames(datagram: bytes) -> list[bytes]:
@@ -41,6 +64,8 @@
     Raises:
         MessageFormatError: If the payload is not a list of frames.
     """
+    if datagram[:1] == bytes([ZLIB_FIRST_BYTE]):
+        datagram = _decompress(datagram)
     try:
         return _decoder.decode(datagram)
     except msgspec.MsgspecError as error:
@@ -66,8 +91,9 @@
         self._port: Any = None
         link_mbps = world.settings.direct.link_mbps
         self._bytes_per_s = LINK_FRACTION * link_mbps * BYTES_PER_MBIT
-        self._unsent: deque[tuple[bytes, str]] = deque()
-        self._n_unsent_bytes = 0
+        self._unsent_small: deque[tuple[bytes, str]] = deque()
+        self._unsent_bulk: deque[tuple[bytes, str]] = deque()
+        self._n_bulk_bytes = 0
         self._n_burst_bytes = float(BURST_MAX_BYTES)
         self._refilled_at_s = 0.0
         self._is_pausing = False
@@ -108,27 +134,41 @@
         """Send one message to several addresses; count each failure as dropped."""
         settings = self._world.settings
         datagram = pack_message(settings.fleet.name, settings.vm.vm_id, command.message)
-        n_bytes = len(datagram) * len(command.message_addresses)
-        is_full = self._n_unsent_bytes + n_bytes > UNSENT_MAX_BYTES
-        if len(datagram) > DATAGRAM_MAX_BYTES or self.transport is None or is_full:
+        if len(datagram) > DATAGRAM_MAX_BYTES or self.transport is None:
             count(self._world, "messages_dropped", "reason", "unsendable")
             return
-        self._unsent.extend(
-            (datagram, address) for address in command.message_addresses
-        )
-        self._n_unsent_bytes += n_bytes
+        unsent = [(datagram, address) for address in command.message_addresses]
+        if len(datagram) <= SMALL_MAX_BYTES:
+            self._unsent_small.extend(unsent)
+        elif self._n_bulk_bytes > BULK_WAIT_MAX_S * self._bytes_per_s:
+            count(self._world, "messages_dropped", "reason", "congested")
+            return
+        else:
+            self._unsent_bulk.extend(unsent)
+            self._n_bulk_bytes += len(datagram) * len(unsent)
         if not self._is_pausing:
             self._send_burst()
 
+    def _pop_unsent(self) -> tuple[bytes, str] | None:
+        """Remove and return the next datagram and its address, if any is left."""
+        if self._unsent_small:
+            return self._unsent_small.popleft()
+        if not self._unsent_bulk:
+            return None
+        datagram, address = self._unsent_bulk.popleft()
+        self._n_bulk_bytes -= len(datagram)
+        return datagram, address
+
     def _send_burst(self) -> None:
         """Send what the allowance permits, and the rest after a pause."""
         self._refill_allowance()
-        while self._unsent and self._n_burst_bytes > 0:
-            datagram, address = self._unsent.popleft()
-            self._n_unsent_bytes -= len(datagram)
-            self._n_burst_bytes -= len(datagram)
-            self._write(datagram, address)
-        self._is_pausing = bool(self._unsent)
+        while self._n_burst_bytes > 0:
+            unsent = self._pop_unsent()
+            if unsent is None:
+                break
+            self._n_burst_bytes -= len(unsent[0])
+            self._write(*unsent)
+        self._is_pausing = bool(self._unsent_small or self._unsent_bulk)
         if self._is_pausing:
             self._reactor.callLater(BURST_PAUSE_S, self._send_burst)
 
--- a/burdockhitch/systems/direct/zone_reports.py
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -1,8 +1,8 @@
 """Reports of one zone to all others: loads, successes, failures and its VMs.
 
 Within a zone each VM reports to all others. Between zones that would be too much
-traffic, so one VM of a zone sums up what it knows of its zone and sends it to the first
-two VMs in rank of each other zone, and the first of them forwards it within its zone.
+traffic, so one VM of a zone sums up what it knows of its zone and sends it to two VMs
+of each other zone, and the first of them in rank forwards it within its zone.
 """
 
 from burdockhitch import commands
@@ -50,11 +50,28 @@
         start_timer(world, TimerKind.ZONE_REPORT, subject, now.monotonic_s + period_s)
 
 
+def _rank_receivers(world: World, zone: str, reported_zone: str) -> list[VmRow]:
+    """Return the alive VMs of a zone in the order in which they forward reports.
+
+    The order differs by the zone that the reports are about, so that not one VM
+    forwards them all.
+    """
+    alive = [vm for vm in world.vms.select("zone", zone) if vm.status is VmStatus.ALIVE]
+    return sorted(
+        alive, key=lambda vm: rank_in_zone(f"{zone}|{reported_zone}", vm.vm_id)
+    )
+
+
 def _receiver_addresses(world: World, zone: str) -> list[str]:
     """Return the message addresses of the VMs of a zone that receive reports."""
-    alive = [vm for vm in world.vms.select("zone", zone) if vm.status is VmStatus.ALIVE]
-    alive.sort(key=lambda vm: rank_in_zone(zone, vm.vm_id))
-    return [vm.message_address for vm in alive[:RECEIVERS_PER_ZONE]]
+    receivers = _rank_receivers(world, zone, world.local.zone)[:RECEIVERS_PER_ZONE]
+    return [vm.message_address for vm in receivers]
+
+
+def is_forwarder(world: World, reported_zone: str) -> bool:
+    """Return whether this VM forwards the reports of another zone in its own."""
+    receivers = _rank_receivers(world, world.local.zone, reported_zone)
+    return bool(receivers) and receivers[0].vm_id == world.local.vm_id
 
 
 def _send_to_other_zones(world: World, report: ZoneReport) -> None:
@@ -128,12 +145,12 @@
 def handle_zone_report(
     world: World, sender_vm_id: str, report: ZoneReport, now: Instant
 ) -> None:
-    """Apply another zone's report; the first VM of this zone forwards it to the others.
+    """Apply another zone's report; one VM of this zone forwards it to the others.
 
     The others ignore a report that reaches them directly, since they get it again.
     """
     is_forwarded = _is_forwarded(world, world.vms.get(sender_vm_id))
-    if not is_forwarded and better_ranked_vms(world):
+    if not is_forwarded and not is_forwarder(world, report.zone):
         return
     _apply_report(world, report, now)
     if is_forwarded:
--- a/burdockhitch/tests/test_datagrams.py
+++ b/burdockhitch/tests/test_datagrams.py
@@ -1,5 +1,6 @@
 """Tests when datagrams are read, and how bursts of them are sent."""
 
+import random
 import time
 
 import pytest
@@ -7,8 +8,16 @@
 from twisted.internet.task import Clock
 
 from burdockhitch import commands
-from burdockhitch.adapters.datagrams import BURST_MAX_BYTES, Datagrams
+from burdockhitch.adapters.codec import decode_message
+from burdockhitch.adapters.datagrams import (
+    BURST_MAX_BYTES,
+    DATAGRAM_MAX_BYTES,
+    Datagrams,
+    pack_message,
+    unpack_frames,
+)
 from burdockhitch.direct_messages import Report, ServerLoad, ZoneReport
+from burdockhitch.errors import MessageError
 from burdockhitch.tests.fakes import FakeFleet
 
 WAIT_S = 5.0
@@ -52,6 +61,15 @@
     receiver.transport.stopListening()
 
 
+def make_loads(n_servers):
+    """Return loads of servers whose names compress as badly as real ones."""
+    rng = random.Random(n_servers)
+    return tuple(
+        ServerLoad(f"i-{rng.getrandbits(40):010x}", rng.randrange(1, 5))
+        for _ in range(n_servers)
+    )
+
+
 class RecordingTransport:
     """Records the size of each datagram that is sent, and when."""
 
@@ -66,7 +84,7 @@
 @pytest.mark.parametrize("link_mbps", [10.0, 100.0])
 @pytest.mark.parametrize("n_receivers", [5, 25, 40])
 def test_a_report_to_a_whole_zone_is_not_lost_on_a_narrow_link(n_receivers, link_mbps):
-    """A burst above what the link queues would be lost: 115 loads, 3 KB a receiver."""
+    """A burst above what the link queues would be lost."""
     fleet = FakeFleet()
     world = fleet.add_vm("a1", "a")
     direct = world.settings.direct._replace(link_mbps=link_mbps)
@@ -74,7 +92,7 @@
     reactor = Clock()
     datagrams = Datagrams(world, lambda _event: None, reactor)
     datagrams.transport = RecordingTransport(reactor)
-    loads = tuple(ServerLoad(f"i-{number:010x}", 2) for number in range(115))
+    loads = make_loads(115)
     report = ZoneReport("a", loads, tuple(load.server_id for load in loads))
     addresses = tuple(f"10.0.0.{number}:1" for number in range(n_receivers))
     datagrams.send(commands.BroadcastMessage(addresses, report))
@@ -90,3 +108,43 @@
         n_carried = at_s * link_mbps * 125_000
         queue_max_bytes = max(queue_max_bytes, n_sent - n_carried)
     assert queue_max_bytes <= BURST_MAX_BYTES + n_bytes
+
+
+def test_small_messages_overtake_large_ones_which_are_dropped_when_outdated():
+    fleet = FakeFleet()
+    world = fleet.add_vm("a1", "a")
+    direct = world.settings.direct._replace(link_mbps=10.0)
+    world = world._replace(settings=world.settings._replace(direct=direct))
+    reactor = Clock()
+    datagrams = Datagrams(world, lambda _event: None, reactor)
+    datagrams.transport = RecordingTransport(reactor)
+    loads = make_loads(400)
+    addresses = tuple(f"10.0.0.{number}:1" for number in range(25))
+    for _ in range(20):
+        bulk = commands.BroadcastMessage(addresses, ZoneReport("a", loads))
+        datagrams.send(bulk)
+    datagrams.send(commands.BroadcastMessage(addresses[:1], Report((), None)))
+    for _ in range(200):
+        fleet.clock.elapsed_s += 0.005
+        reactor.advance(0.005)
+    sizes = [size for _, size in datagrams.transport.sent]
+    sent_at_s = {size: at_s for at_s, size in reversed(datagrams.transport.sent)}
+    assert sent_at_s[min(sizes)] <= 0.02
+    n_dropped = world.counters.fetch(("messages_dropped", "reason", "congested")).value
+    assert n_dropped + (len(sizes) - 1) / len(addresses) == 20
+    assert datagrams.transport.sent[-1][0] <= 0.5
+
+
+@pytest.mark.parametrize("n_loads", [0, 3, 500])
+def test_large_messages_are_compressed_and_restored(n_loads):
+    loads = make_loads(n_loads)
+    datagram = pack_message("fleet", "a1", ZoneReport("a", loads))
+    envelope = decode_message("fleet", unpack_frames(datagram), DATAGRAM_MAX_BYTES)
+    assert envelope.message == ZoneReport("a", loads)
+    assert len(datagram) <= 1024 + 10 * n_loads
+
+
+@pytest.mark.parametrize("datagram", [b"\x78", b"\x78\x01garbage", b"", b"\xff\xff"])
+def test_a_malformed_datagram_is_rejected(datagram):
+    with pytest.raises(MessageError):
+        decode_message("fleet", unpack_frames(datagram), DATAGRAM_MAX_BYTES)
--- a/burdockhitch/tests/test_direct_zone_reports.py
+++ b/burdockhitch/tests/test_direct_zone_reports.py
@@ -1,9 +1,11 @@
 """Tests the reports of a zone that one of its VMs sends to other zones.
 
-They go to the first two VMs in rank of each other zone, and the first of them forwards
-them within its zone.
+They go to two VMs of each other zone, and the first of them in rank forwards them
+within its zone.
 """
 
+from collections import Counter
+
 import pytest
 
 from burdockhitch import events
@@ -14,6 +16,7 @@
 from burdockhitch.systems.direct.zone_reports import (
     MEMBERS_PERIOD_S,
     ZONE_REPORT_PERIOD_S,
+    is_forwarder,
 )
 from burdockhitch.tables.vms import VmStatus
 from burdockhitch.tests.direct_fakes import make_route, start_fleet
@@ -64,12 +67,12 @@
 def test_every_vm_of_another_zone_learns_the_sum_of_loads(is_first_killed):
     fleet = start_busy_fleet()
     if is_first_killed:
-        first_ranked_vm_id = next(
+        forwarder_id = next(
             vm_id
             for vm_id, world in fleet.worlds.items()
-            if world.local.zone == "b" and not better_ranked_vms(world)
+            if world.local.zone == "b" and is_forwarder(world, "a")
         )
-        fleet.kill_vm(first_ranked_vm_id)
+        fleet.kill_vm(forwarder_id)
         fleet.run(5.0)
         for _ in range(12):
             for number in (0, 2, 4):
@@ -164,3 +167,17 @@
         assert world.vms.fetch(killed_vm_id).status is VmStatus.DEAD
         alive = [vm for vm in world.vms if vm.status is VmStatus.ALIVE]
         assert len(alive) == 11
+
+
+def test_not_one_vm_forwards_the_reports_of_all_zones():
+    """With five zones, a VM that forwarded all would send four reports to its zone."""
+    zones = tuple(f"zone-{number}" for number in range(5))
+    fleet = start_fleet(n_vms=40, n_servers=3, zones=zones)
+    forwarders = [
+        (vm_id, zone)
+        for vm_id, world in fleet.worlds.items()
+        for zone in zones
+        if zone != world.local.zone and is_forwarder(world, zone)
+    ]
+    assert len(forwarders) == 5 * 4
+    assert max(Counter(vm_id for vm_id, _ in forwarders).values()) <= 2
