Tell other zones of successes in calm times, too, and let zones find each other again

Lists of a zone's VMs are a message of their own now; their two receivers are drawn anew each time among all known VMs, dead ones too, and rows of a zone without a live VM are kept. - A list made before a VM announced that it leaves set it back to alive. It no longer changes a leaving VM, nor lowers reported versions. - Datagrams above 8,192 bytes were cut by the reading side (8,379 bytes at 273 servers with all successes, before compression), and one malformed address ended all sending. The socket reads up to its limit; a malformed address is counted as dropped.

--- a/burdockhitch/adapters/datagrams.py
+++ b/burdockhitch/adapters/datagrams.py
@@ -23,7 +23,7 @@
 BYTES_PER_MBIT = 125_000
 # Fraction of the link for messages; the rest is for requests.
 LINK_FRACTION = 0.5
-# Most that is sent at once, about 13 ms of a link of 10 Mbit/s.
+# Most that is sent at once.
 BURST_MAX_BYTES = 16 * 1024
 BURST_PAUSE_S = 0.015
 # Messages up to this size are sent before larger ones.
@@ -105,7 +105,9 @@
         a VM.
         """
         host, _, port = address.rpartition(":")
-        self._port = self._reactor.listenUDP(int(port), self, interface=host)
+        self._port = self._reactor.listenUDP(
+            int(port), self, interface=host, maxPacketSize=DATAGRAM_MAX_BYTES
+        )
         self._port.stopReading()
 
     def read_pending(self) -> None:
@@ -162,10 +164,7 @@
     def _send_burst(self) -> None:
         """Send what the allowance permits, and the rest after a pause."""
         self._refill_allowance()
-        while self._n_burst_bytes > 0:
-            unsent = self._pop_unsent()
-            if unsent is None:
-                break
+        while self._n_burst_bytes > 0 and (unsent := self._pop_unsent()) is not None:
             self._n_burst_bytes -= len(unsent[0])
             self._write(*unsent)
         self._is_pausing = bool(self._unsent_small or self._unsent_bulk)
@@ -181,9 +180,10 @@
     def _write(self, datagram: bytes, address: str) -> None:
         transport: Any = self.transport
         host, _, port = address.rpartition(":")
+        # ValueError: a malformed address, which another VM may have sent.
         try:
             transport.write(datagram, (host, int(port)))
-        except OSError as error:
+        except (OSError, ValueError) as error:
             count(self._world, "messages_dropped", "reason", type(error).__name__)
             return
         count(self._world, "message_bytes_sent", n_events=len(datagram))
--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -127,16 +127,29 @@
     """What one VM reports of its zone to the other zones.
 
     Attributes:
+        report_id: Identity of the report, which may arrive twice.
         zone: Availability zone of the VMs that the report is about.
         loads: Sum of their requests in flight, by backend server; None if left out.
         succeeded_server_ids: Backend servers with a recent success that was not
             reported to other zones before.
         observations: Their observations since the last report, without successes.
-        members: Rows of all VMs of the zone that are not dead; empty if left out.
     """
 
+    report_id: str
     zone: str
     loads: tuple[ServerLoad, ...] | None
     succeeded_server_ids: tuple[str, ...] = ()
     observations: tuple[Observation, ...] = ()
-    members: tuple[VmRow, ...] = ()
+
+
+@vm_messages("zone_members")
+class ZoneMembers(NamedTuple):
+    """The VMs of a zone, for the other zones.
+
+    Attributes:
+        zone: Availability zone of the VMs.
+        members: Rows of all VMs of the zone that are not dead.
+    """
+
+    zone: str
+    members: tuple[VmRow, ...]
--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -167,8 +167,11 @@
     if now.monotonic_s - heard_at_s > CUT_OFF_S:
         # All are silent: this VM is more likely cut off than all others dead.
         return
+    live_zones = {vm.zone for vm in peers if vm.status is not VmStatus.DEAD}
     for vm in [vm for vm in peers if _is_silent(world, vm, now)]:
-        if now.monotonic_s - vm.status_updated_at_s > DEAD_REMOVAL_S:
+        silent_s = now.monotonic_s - vm.status_updated_at_s
+        # The VMs of a lost zone are kept, to find it again.
+        if silent_s > DEAD_REMOVAL_S and vm.zone in live_zones:
             world.vms.remove(vm.vm_id)
             replace_reported_loads(world, vm.vm_id, ())
         elif vm.status is not VmStatus.DEAD:
@@ -233,6 +236,19 @@
         world.vms.put(row._replace(status_updated_at_s=now.monotonic_s, is_ready=False))
 
 
+def _without_older_news(world: World, row: VmRow) -> VmRow:
+    """Return a listed row without what is older than the VM's own heartbeats."""
+    old = world.vms.get(row.vm_id)
+    if old is None or old.incarnation != row.incarnation:
+        return row
+    if old.status is VmStatus.LEAVING:
+        return old
+    return row._replace(
+        configuration_version=max(old.configuration_version, row.configuration_version),
+        servers_version=max(old.servers_version, row.servers_version),
+    )
+
+
 def apply_zone_members(
     world: World, zone: str, members: tuple[VmRow, ...], now: Instant
 ) -> None:
@@ -241,7 +257,7 @@
     A VM that isn't listed yet but was heard lately has just started.
     """
     for row in members:
-        apply_vm_row(world, row, now)
+        apply_vm_row(world, _without_older_news(world, row), now)
     listed = {row.vm_id for row in members}
     for vm in world.vms.select("zone", zone):
         silent_s = now.monotonic_s - vm.status_updated_at_s
--- a/burdockhitch/systems/direct/zone_reports.py
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -7,7 +7,7 @@
 
 from burdockhitch import commands
 from burdockhitch.clock import Instant
-from burdockhitch.direct_messages import Observation, ZoneReport
+from burdockhitch.direct_messages import Observation, ZoneMembers, ZoneReport
 from burdockhitch.systems.direct.membership import apply_zone_members, refresh_own_row
 from burdockhitch.systems.direct.recent_successes import (
     pop_unreported_for_other_zones,
@@ -22,9 +22,10 @@
     same_zone_loads,
 )
 from burdockhitch.systems.timing import message_handlers, timer_handlers
+from burdockhitch.tables.server_estimates import ReceivedZoneReportRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmRow, VmStatus
-from burdockhitch.world import World, send, start_timer
+from burdockhitch.world import World, next_sequence, send, start_timer
 
 # About the duration of a request; older loads say little.
 ZONE_REPORT_PERIOD_S = 0.2
@@ -36,6 +37,8 @@
 # More than one, since the death of the first is known in its own zone long before it
 # is known here.
 RECEIVERS_PER_ZONE = 2
+# Most observations of one report; older ones are left out.
+ZONE_OBSERVATIONS_MAX = 200
 # Subjects of the timer, besides the names of zones whose loads expire.
 SEND_REPORT = "sums"
 SEND_MEMBERS = "members"
@@ -74,10 +77,15 @@
     return bool(receivers) and receivers[0].vm_id == world.local.vm_id
 
 
+def _other_zones(world: World) -> list[str]:
+    return [zone for zone in world.vms.values("zone") if zone != world.local.zone]
+
+
 def _send_to_other_zones(world: World, report: ZoneReport) -> None:
-    zones = [zone for zone in world.vms.values("zone") if zone != report.zone]
     addresses = [
-        address for zone in zones for address in _receiver_addresses(world, zone)
+        address
+        for zone in _other_zones(world)
+        for address in _receiver_addresses(world, zone)
     ]
     if addresses:
         send(world, commands.BroadcastMessage(tuple(addresses), report))
@@ -85,7 +93,7 @@
 
 def _pop_observations(world: World) -> tuple[Observation, ...]:
     """Remove and return the zone's observations since the last report."""
-    rows = list(world.zone_observations)
+    rows = list(world.zone_observations)[-ZONE_OBSERVATIONS_MAX:]
     world.zone_observations.clear()
     return tuple(Observation(row.server_id, row.kind) for row in rows)
 
@@ -106,30 +114,48 @@
 
 
 def _send_report(world: World, now: Instant) -> None:
-    """Report observations, and loads and successes while a service is busy."""
+    """Report observations and successes, and loads while a service is busy."""
     observations = _pop_observations(world)
+    if better_ranked_vms(world):
+        return
     is_busy = is_any_service_busy(world)
-    if not (is_busy or observations) or better_ranked_vms(world):
+    succeeded_server_ids = pop_unreported_for_other_zones(world, now)
+    if not (is_busy or observations or succeeded_server_ids):
         return
+    sequence = next_sequence(world, "zone_report")
     report = ZoneReport(
+        f"{world.local.incarnation_id()}.{sequence}",
         world.local.zone,
-        same_zone_loads(world) if is_busy else (),
-        pop_unreported_for_other_zones(world, now),
+        same_zone_loads(world) if is_busy else None,
+        succeeded_server_ids,
         observations,
     )
     _send_to_other_zones(world, report)
 
 
 def _send_members(world: World, now: Instant) -> None:
-    """Tell the other zones which VMs of this zone are alive."""
+    """Tell the other zones which VMs of this zone are alive.
+
+    The receivers are drawn anew each time, so that a broken path between two VMs does
+    not separate zones, and include dead VMs, so that zones find each other again.
+    """
     if better_ranked_vms(world):
         return
-    zone = world.local.zone
     refresh_own_row(world, now)
-    members = tuple(
-        vm for vm in world.vms.select("zone", zone) if vm.status is not VmStatus.DEAD
-    )
-    _send_to_other_zones(world, ZoneReport(zone, None, members=members))
+    same_zone = world.vms.select("zone", world.local.zone)
+    members = tuple(vm for vm in same_zone if vm.status is not VmStatus.DEAD)
+    receivers = [
+        vm.message_address
+        for zone in _other_zones(world)
+        for vm in _draw_vms(world, world.vms.select("zone", zone))
+    ]
+    if receivers:
+        message = ZoneMembers(world.local.zone, members)
+        send(world, commands.BroadcastMessage(tuple(receivers), message))
+
+
+def _draw_vms(world: World, vms: list[VmRow]) -> list[VmRow]:
+    return world.rng.sample(vms, min(len(vms), RECEIVERS_PER_ZONE))
 
 
 def _zone_key(zone: str) -> str:
@@ -137,29 +163,42 @@
     return f"zone {zone}"
 
 
-def _is_forwarded(world: World, sender: VmRow | None) -> bool:
+def _is_forwarded(world: World, sender_vm_id: str) -> bool:
+    sender = world.vms.get(sender_vm_id)
     return sender is None or sender.zone == world.local.zone
 
 
+def _forward(world: World, message: ZoneReport | ZoneMembers) -> None:
+    same_zone = tuple(
+        vm.message_address for vm in live_peers(world) if vm.zone == world.local.zone
+    )
+    if same_zone:
+        send(world, commands.BroadcastMessage(same_zone, message))
+
+
 @message_handlers("zone_report")
 def handle_zone_report(
     world: World, sender_vm_id: str, report: ZoneReport, now: Instant
 ) -> None:
-    """Apply another zone's report; one VM of this zone forwards it to the others.
+    """Apply another zone's report once; one VM of this zone forwards it to the others.
 
-    The others ignore a report that reaches them directly, since they get it again.
+    The second in rank does so if no report of the zone has come for a while, as when
+    the path to the first is broken.
     """
-    is_forwarded = _is_forwarded(world, world.vms.get(sender_vm_id))
-    if not is_forwarded and not is_forwarder(world, report.zone):
+    last = world.received_zone_reports.get(report.zone)
+    if last is not None and last.report_id == report.report_id:
         return
-    _apply_report(world, report, now)
-    if is_forwarded:
-        return
-    same_zone = tuple(
-        vm.message_address for vm in live_peers(world) if vm.zone == world.local.zone
+    is_forwarded = _is_forwarded(world, sender_vm_id)
+    is_silent = (
+        last is None or now.monotonic_s - last.received_at_s > ZONE_LOADS_EXPIRY_S
     )
-    if same_zone:
-        send(world, commands.BroadcastMessage(same_zone, report))
+    if not (is_forwarded or is_silent or is_forwarder(world, report.zone)):
+        return
+    row = ReceivedZoneReportRow(report.zone, report.report_id, now.monotonic_s)
+    world.received_zone_reports.put(row)
+    _apply_report(world, report, now)
+    if not is_forwarded:
+        _forward(world, report)
 
 
 def _apply_report(world: World, report: ZoneReport, now: Instant) -> None:
@@ -172,5 +211,13 @@
         replace_reported_loads(world, _zone_key(report.zone), report.loads)
         due_s = now.monotonic_s + ZONE_LOADS_EXPIRY_S
         start_timer(world, TimerKind.ZONE_REPORT, report.zone, due_s)
-    if report.members:
-        apply_zone_members(world, report.zone, report.members, now)
+
+
+@message_handlers("zone_members")
+def handle_zone_members(
+    world: World, sender_vm_id: str, message: ZoneMembers, now: Instant
+) -> None:
+    """Apply the list of another zone's VMs, and forward it within this zone."""
+    apply_zone_members(world, message.zone, message.members, now)
+    if not _is_forwarded(world, sender_vm_id):
+        _forward(world, message)
--- a/burdockhitch/tables/server_estimates.py
+++ b/burdockhitch/tables/server_estimates.py
@@ -128,6 +128,20 @@
     kind: str
 
 
+class ReceivedZoneReportRow(NamedTuple):
+    """The last report of another zone that this VM applied.
+
+    Attributes:
+        zone: The other zone.
+        report_id: Identity of the report.
+        received_at_s: Monotonic time of its receipt.
+    """
+
+    zone: str
+    report_id: str
+    received_at_s: float
+
+
 class RecentSuccessRow(NamedTuple):
     """A backend server that recently answered a request successfully.
 
@@ -176,6 +190,11 @@
     return Table(ZoneObservationRow, key="sequence")
 
 
+def make_received_zone_reports() -> Table[ReceivedZoneReportRow]:
+    """Return an empty table of the last reports by zone."""
+    return Table(ReceivedZoneReportRow, key="zone")
+
+
 def make_recent_successes() -> Table[RecentSuccessRow]:
     """Return an empty table of recent successes by backend server."""
     return Table(RecentSuccessRow, key="server_id")
--- a/burdockhitch/tests/test_datagrams.py
+++ b/burdockhitch/tests/test_datagrams.py
@@ -93,7 +93,7 @@
     datagrams = Datagrams(world, lambda _event: None, reactor)
     datagrams.transport = RecordingTransport(reactor)
     loads = make_loads(115)
-    report = ZoneReport("a", loads, tuple(load.server_id for load in loads))
+    report = ZoneReport("1", "a", loads, tuple(load.server_id for load in loads))
     addresses = tuple(f"10.0.0.{number}:1" for number in range(n_receivers))
     datagrams.send(commands.BroadcastMessage(addresses, report))
     for _ in range(100):
@@ -121,7 +121,7 @@
     loads = make_loads(400)
     addresses = tuple(f"10.0.0.{number}:1" for number in range(25))
     for _ in range(20):
-        bulk = commands.BroadcastMessage(addresses, ZoneReport("a", loads))
+        bulk = commands.BroadcastMessage(addresses, ZoneReport("1", "a", loads))
         datagrams.send(bulk)
     datagrams.send(commands.BroadcastMessage(addresses[:1], Report((), None)))
     for _ in range(200):
@@ -138,9 +138,9 @@
 @pytest.mark.parametrize("n_loads", [0, 3, 500])
 def test_large_messages_are_compressed_and_restored(n_loads):
     loads = make_loads(n_loads)
-    datagram = pack_message("fleet", "a1", ZoneReport("a", loads))
+    datagram = pack_message("fleet", "a1", ZoneReport("1", "a", loads))
     envelope = decode_message("fleet", unpack_frames(datagram), DATAGRAM_MAX_BYTES)
-    assert envelope.message == ZoneReport("a", loads)
+    assert envelope.message == ZoneReport("1", "a", loads)
     assert len(datagram) <= 1024 + 10 * n_loads
 
 
@@ -148,3 +148,29 @@
 def test_a_malformed_datagram_is_rejected(datagram):
     with pytest.raises(MessageError):
         decode_message("fleet", unpack_frames(datagram), DATAGRAM_MAX_BYTES)
+
+
+def test_a_malformed_address_does_not_stop_all_later_messages():
+    fleet = FakeFleet()
+    reactor = Clock()
+    datagrams = Datagrams(fleet.add_vm("a1", "a"), lambda _event: None, reactor)
+    datagrams.transport = RecordingTransport(reactor)
+    report = ZoneReport("1", "a", make_loads(200))
+    addresses = (*(f"10.0.0.{number}:1" for number in range(30)), "", "10.0.0.99:1")
+    datagrams.send(commands.BroadcastMessage(addresses, report))
+    for _ in range(100):
+        fleet.clock.elapsed_s += 0.015
+        reactor.advance(0.015)
+    assert len(datagrams.transport.sent) == 31
+
+
+def test_the_largest_datagram_is_read_whole():
+    reactor = SelectReactor()
+    sender, _ = open_socket(reactor)
+    receiver, posted = open_socket(reactor)
+    report = ZoneReport("1", "a", make_loads(3000))
+    sender.send(commands.BroadcastMessage((address_of(receiver),), report))
+    read_until(receiver, posted, 1)
+    assert [event.message for event in posted] == [report]
+    sender.transport.stopListening()
+    receiver.transport.stopListening()
--- a/burdockhitch/tests/test_direct_zone_reports.py
+++ b/burdockhitch/tests/test_direct_zone_reports.py
@@ -9,8 +9,12 @@
 import pytest
 
 from burdockhitch import events
-from burdockhitch.systems.direct.membership import HEARTBEAT_TIMEOUT_S
-from burdockhitch.systems.direct.registry_reads import better_ranked_vms
+from burdockhitch.systems.direct.membership import (
+    HEARTBEAT_TIMEOUT_S,
+    apply_vm_row,
+    apply_zone_members,
+)
+from burdockhitch.systems.direct.registry_reads import better_ranked_vms, rank_in_zone
 from burdockhitch.systems.direct.reports import last_reported_loads, report_observation
 from burdockhitch.systems.direct.server_estimates import FAILURE, p_failing
 from burdockhitch.systems.direct.zone_reports import (
@@ -181,3 +185,90 @@
     ]
     assert len(forwarders) == 5 * 4
     assert max(Counter(vm_id for vm_id, _ in forwarders).values()) <= 2
+
+
+def vms_in_rank(fleet, zone):
+    vm_ids = [vm_id for vm_id in fleet.worlds if fleet.worlds[vm_id].local.zone == zone]
+    return sorted(vm_ids, key=lambda vm_id: rank_in_zone(zone, vm_id))
+
+
+def links_between(vm_ids, other_vm_ids):
+    return {(a, b) for a in vm_ids for b in other_vm_ids} | {
+        (b, a) for a in vm_ids for b in other_vm_ids
+    }
+
+
+def test_a_lost_path_between_two_vms_does_not_separate_their_zones():
+    fleet = start_fleet(n_vms=12, zones=("a", "b", "c"))
+    forwarder_id = next(
+        vm_id
+        for vm_id in vms_in_rank(fleet, "b")
+        if is_forwarder(fleet.worlds[vm_id], "a")
+    )
+    fleet.blocked_links.add((vms_in_rank(fleet, "a")[0], forwarder_id))
+    fleet.run(20.0)
+    for world in fleet.worlds.values():
+        assert world.vms.count("status", VmStatus.ALIVE) == 12
+    reporter = fleet.worlds[vms_in_rank(fleet, "a")[0]]
+    report_observation(reporter, "1", FAILURE, reporter.clock.now())
+    fleet.run(3 * ZONE_REPORT_PERIOD_S)
+    now = fleet.clock.now()
+    for vm_id in vms_in_rank(fleet, "b"):
+        estimate = fleet.worlds[vm_id].server_estimates.fetch("1")
+        assert p_failing(estimate, now) > 0.4
+
+
+@pytest.mark.parametrize("cut_s", [8.0, 20.0, 60.0])
+def test_an_isolated_zone_is_found_again(cut_s):
+    fleet = start_fleet(n_vms=9, zones=("a", "b", "c"))
+    inside = vms_in_rank(fleet, "a")
+    links = links_between(inside, set(fleet.worlds) - set(inside))
+    fleet.blocked_links |= links
+    fleet.run(cut_s)
+    fleet.blocked_links -= links
+    fleet.run(20.0)
+    for world in fleet.worlds.values():
+        assert world.vms.count("status", VmStatus.ALIVE) == 9
+
+
+def test_a_late_list_of_vms_does_not_revert_a_leaving_vm_to_alive():
+    fleet = start_fleet(n_vms=4, zones=("a", "b"))
+    world = fleet.worlds["vm-0"]
+    now = fleet.clock.now()
+    listed = fleet.worlds["vm-1"].vms.fetch("vm-1")
+    leaving = listed._replace(status=VmStatus.LEAVING, is_ready=False)
+    apply_vm_row(world, leaving, now)
+    other = fleet.worlds["vm-3"].vms.fetch("vm-3")
+    apply_zone_members(world, "b", (listed, other), now)
+    assert world.vms.fetch("vm-1").status is VmStatus.LEAVING
+
+
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize(
+    ("n_zones", "n_servers", "requests_per_s"), [(3, 12, 30), (5, 40, 100)]
+)
+def test_calm_fleets_do_not_send_requests_to_other_zones(
+    n_zones, n_servers, requests_per_s, is_idempotent
+):
+    """Other zones' successes must be known, or their servers are explored."""
+    zones = tuple(f"zone-{number}" for number in range(n_zones))
+    fleet = start_fleet(n_vms=4 * n_zones, n_servers=n_servers, zones=zones)
+    fleet.configure(2, make_route(is_idempotent=is_idempotent))
+    fleet.run(1.0)
+    zone_by_request = {}
+    for _ in range(12 * requests_per_s):
+        vm_id = fleet.rng.choice(list(fleet.worlds))
+        zone = fleet.worlds[vm_id].local.zone
+        zone_by_request[f"id-{fleet.send(vm_id)}"] = zone
+        fleet.run(1.0 / requests_per_s)
+    attempts = [
+        attempt
+        for attempt in fleet.issued_attempts
+        if attempt.at_s > fleet.clock.elapsed_s - 8.0
+    ]
+    n_other_zone = sum(
+        fleet.registry.servers[attempt.server_id].zone
+        != zone_by_request[attempt.request_id]
+        for attempt in attempts
+    )
+    assert n_other_zone <= 0.05 * len(attempts)
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -85,6 +85,7 @@
     service_times: Table[estimate_tables.ServiceTimeRow]
     unreported_observations: Table[estimate_tables.UnreportedObservationRow]
     zone_observations: Table[estimate_tables.ZoneObservationRow]
+    received_zone_reports: Table[estimate_tables.ReceivedZoneReportRow]
     recent_successes: Table[estimate_tables.RecentSuccessRow]
     registry_views: Table[registry_views.RegistryViewRow]
     registry_changes: Table[registry_views.RegistryChangeRow]
@@ -163,6 +164,7 @@
         service_times=estimate_tables.make_service_times(),
         unreported_observations=estimate_tables.make_unreported_observations(),
         zone_observations=estimate_tables.make_zone_observations(),
+        received_zone_reports=estimate_tables.make_received_zone_reports(),
         recent_successes=estimate_tables.make_recent_successes(),
         registry_views=registry_views.make_registry_views(),
         registry_changes=registry_views.make_registry_changes(),
