--- a/burdockhitch/systems/direct/zone_reports.py
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -39,8 +39,8 @@
 RECEIVERS_PER_ZONE = 2
 # Most observations of one report; older ones are left out.
 ZONE_OBSERVATIONS_MAX = 200
-# Subjects of the timer, besides the names of zones whose loads expire.
-SEND_REPORT = "sums"
+# Subjects of the timer, besides the keys of zones whose loads expire.
+SEND_REPORT = "report"
 SEND_MEMBERS = "members"
 
 
@@ -110,7 +110,7 @@
         start_timer(world, TimerKind.ZONE_REPORT, SEND_MEMBERS, due_s)
         _send_members(world, now)
     else:
-        replace_reported_loads(world, _zone_key(subject), ())
+        replace_reported_loads(world, subject, ())
 
 
 def _send_report(world: World, now: Instant) -> None:
@@ -210,7 +210,7 @@
     if report.loads is not None:
         replace_reported_loads(world, _zone_key(report.zone), report.loads)
         due_s = now.monotonic_s + ZONE_LOADS_EXPIRY_S
-        start_timer(world, TimerKind.ZONE_REPORT, report.zone, due_s)
+        start_timer(world, TimerKind.ZONE_REPORT, _zone_key(report.zone), due_s)
 
 
 @message_handlers("zone_members")
