Post the failure to connect to a backend server

On the platform, a request whose attempt could not connect stayed open until its deadline and then got a 504 (outcome unknown), though it had reached no server; its caller can't repeat it if it runs at most once. It was not sent to another server either, and the server was not avoided.

Cause: while an attempt connects, its entry in `process.attempts` is None. `_post_result` took the None that it removed for an attempt that had ended, and dropped the result. So NOT_SENT was posted for no refused and no timed out connection since the platform front end exists; only the fakes of the systems posted it.

Evidence: test_a_refused_connection_ends_an_attempt_as_not_sent failed before (no event) and passes.

Ruled out: a listener whose full queue accepts the connection after all; on this kernel a connect to it timed out.

--- a/burdockhitch/platform/backends.py
+++ b/burdockhitch/platform/backends.py
@@ -62,8 +62,9 @@
     command: commands.SendAttempt,
     result: HttpAnswer | AttemptFailure,
 ) -> None:
-    if process.attempts.pop(command.attempt_id, None) is None:
+    if command.attempt_id not in process.attempts:
         return
+    del process.attempts[command.attempt_id]
     if isinstance(result, HttpAnswer):
         outcome = classify_answer(result, command.request.method)
     else:
