Refuse requests of which no byte was sent as not run

Callers got a 504 (outcome unknown) for requests that had reached no server, and could not repeat those that run at most once. An idempotent one was retried as if it might have run, and the server was reported to all VMs as overdue, though only this VM could not reach it.

Cause: an attempt counted as sent from its dispatch on. Connecting was limited only by `connect_timeout` (250 ms), so with less time left the deadline, and for fast services the limit of overdue answers, passed first.

Now the adapter marks an attempt that waits for a new connection (`is_connecting`) and clears the mark before it hands the request to the connection; without a mark, a byte may have left. It writes the column directly, as for sent copies: no event and no tick, and nothing for idle connections. The loop has one thread and executes CancelAttempt in the tick that decides, so no byte can leave in between. At the deadline an attempt with the mark is cancelled and the request refused with Retry-After; when overdue it ends as not sent, avoids the server on this VM and is sent elsewhere without using the retry budget. A caller that leaves cancels it for every kind of route. Connecting takes at most half of the remaining time, which leaves time for another server. Over a connection established after the deadline nothing is sent. A request that was not run is not sent again once its caller left.

A blocked link of the fakes now lets connections hang until their limit, as lost packets do, instead of always failing after 250 ms.

--- a/burdockhitch/adapters/connections.py
+++ b/burdockhitch/adapters/connections.py
@@ -4,6 +4,7 @@
 TLS library that is not used here, and the import would delay the start of a VM.
 """
 
+import math
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -174,9 +175,20 @@
         return None
 
     def connect(
-        self, address: str, on_connected: OnConnected, on_failure: Callable[[], None]
+        self,
+        address: str,
+        on_connected: OnConnected,
+        on_failure: Callable[[], None],
+        timeout_s: float = math.inf,
     ) -> None:
-        """Open a new connection; calls exactly one of the callbacks."""
+        """Open a new connection; calls exactly one of the callbacks.
+
+        Args:
+            address: ``ip:port``.
+            on_connected: Called with the connection once it is established.
+            on_failure: Called if the connection can't be established.
+            timeout_s: Limit besides that of the pool.
+        """
         connection = HttpConnection(
             self._open_answers,
             lambda connection, idle_max_s: self._store_idle(
@@ -187,7 +199,7 @@
         open_connection(
             self._reactor,
             address,
-            self._connect_timeout_s,
+            min(self._connect_timeout_s, timeout_s),
             connection,
             on_connected,
             on_failure,
--- a/burdockhitch/commands.py
+++ b/burdockhitch/commands.py
@@ -4,6 +4,7 @@
 owner of a backend server is the VM that sends it requests, unless every VM does.
 """
 
+import math
 from typing import Any, NamedTuple
 
 from burdockhitch.messages import Answer, Refusal, RequestMessage
@@ -71,6 +72,8 @@
         timeout_s: Time after which the attempt fails if no answer has arrived.
         server_id: Backend server that must execute the request; empty for any.
         is_idempotent: Whether the request may be executed more than once.
+        connect_timeout_s: Limit for opening a connection, besides that of the
+            settings.
     """
 
     attempt_id: int
@@ -80,6 +83,7 @@
     timeout_s: float
     server_id: str = ""
     is_idempotent: bool = True
+    connect_timeout_s: float = math.inf
 
 
 class CancelAttempt(NamedTuple):
--- a/burdockhitch/platform/backends.py
+++ b/burdockhitch/platform/backends.py
@@ -9,6 +9,7 @@
 from burdockhitch.messages import Answer
 from burdockhitch.platform import names
 from burdockhitch.platform.process import PlatformProcess, command_handlers
+from burdockhitch.systems.direct.connecting import record_connected, record_connecting
 
 STATUS_MISDIRECTED = 421
 # Headers of the caller's request that are not forwarded, because this program sets
@@ -86,14 +87,19 @@
         if command.attempt_id not in process.attempts:
             connection.abort()
             return
-        process.attempts[command.attempt_id] = connection
         remaining_s = deadline_s - clock.now().monotonic_s
+        if remaining_s <= 0:
+            connection.abort()
+            post_not_sent()
+            return
+        process.attempts[command.attempt_id] = connection
+        record_connected(process.world, command.attempt_id)
         request = make_request(command, remaining_s)
         connection.send_request(
             request, lambda result: _post_result(process, command, result)
         )
 
-    def post_connect_failure() -> None:
+    def post_not_sent() -> None:
         _post_result(process, command, AttemptFailure.NOT_SENT)
 
     idle_connection = process.pool.acquire(command.address)
@@ -101,7 +107,10 @@
     if idle_connection is not None:
         send_request(idle_connection)
         return
-    process.pool.connect(command.address, send_request, post_connect_failure)
+    record_connecting(process.world, command.attempt_id)
+    process.pool.connect(
+        command.address, send_request, post_not_sent, command.connect_timeout_s
+    )
 
 
 @command_handlers("CancelAttempt")
--- a/burdockhitch/systems/direct/answers.py
+++ b/burdockhitch/systems/direct/answers.py
@@ -19,6 +19,7 @@
     would_miss_deadline,
 )
 from burdockhitch.systems.endings import (
+    abandon_request,
     advance_request,
     answer_request,
     end_with_unknown_outcome,
@@ -166,13 +167,19 @@
     """End or retry each request whose attempt got no complete answer."""
     for event in pop_events(world, events.BackendFailed):
         attempt = _end_attempt(world, event.attempt_id)
-        if attempt is None:
-            continue
-        count(world, "attempts_failed", "failure", event.failure)
-        _record_failure(world, attempt, event.failure, now)
-        row = _detach_attempt(world, attempt)
-        if row is not None:
-            _handle_failure(world, row, event.failure, now)
+        if attempt is not None:
+            _fail_attempt(world, attempt, event.failure, now)
+
+
+def _fail_attempt(
+    world: World, attempt: AttemptRow, failure: AttemptFailure, now: Instant
+) -> None:
+    """Record the failure of an ended attempt, and end or retry its request."""
+    count(world, "attempts_failed", "failure", failure)
+    _record_failure(world, attempt, failure, now)
+    row = _detach_attempt(world, attempt)
+    if row is not None:
+        _handle_failure(world, row, failure, now)
 
 
 def _resend_unsent(world: World, row: RequestRow, now: Instant) -> bool:
@@ -193,6 +200,10 @@
     world: World, row: RequestRow, failure: AttemptFailure, now: Instant
 ) -> None:
     is_not_run = failure in NOT_RUN_FAILURES
+    if is_not_run and not row.connection_id:
+        # Its caller left while the outcome was open, and nobody waits for a retry.
+        abandon_request(world, row, now)
+        return
     if failure is AttemptFailure.NOT_SENT and _resend_unsent(world, row, now):
         return
     if (is_not_run or row.is_idempotent) and _can_retry(world, row, now):
@@ -233,12 +244,18 @@
 def handle_overdue_attempt(world: World, attempt_id: str, now: Instant) -> None:
     """Report an overdue answer, and retry an idempotent request elsewhere.
 
-    A VM that is leaving doesn't retry but keeps waiting: the caller could not tell an
-    abandoned wait from a request that the shutdown interrupted.
+    An attempt that is still connecting ends as not sent: no answer can be overdue. A
+    VM that is leaving doesn't retry a sent attempt but keeps waiting: the caller could
+    not tell an abandoned wait from a request that the shutdown interrupted.
     """
     attempt = world.attempts.get(int(attempt_id))
     if attempt is None:
         return
+    if attempt.is_connecting:
+        world.attempts.remove(attempt.attempt_id)
+        send(world, commands.CancelAttempt(attempt.attempt_id))
+        _fail_attempt(world, attempt, AttemptFailure.NOT_SENT, now)
+        return
     _record_overdue(world, attempt, True, now)
     row = world.requests.get(attempt.request_id)
     if row is None or not row.is_idempotent or is_leaving(world):
@@ -254,7 +271,7 @@
 
 @timer_handlers(TimerKind.REQUEST_CUTOFF)
 def end_request_at_deadline(world: World, request_id: str, now: Instant) -> None:
-    """End a request at its deadline; its outcome is unknown if an attempt is open."""
+    """End a request at its deadline; its outcome is unknown if an attempt was sent."""
     row = world.requests.get(request_id)
     if row is None:
         return
@@ -266,6 +283,12 @@
     attempt = world.attempts.fetch(row.attempt_id)
     is_first = (TimerKind.OVERDUE, str(attempt.attempt_id)) in world.timers
     stop_timer(world, TimerKind.OVERDUE, str(attempt.attempt_id))
+    if attempt.is_connecting:
+        server_estimates.record_unreachable(world, attempt.server_id, now)
+        detail = "the deadline passed before the backend server was connected"
+        refusal = make_refusal(DeadlineTooShortError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+        return
     _record_overdue(world, attempt, is_first, now)
     detail = "the deadline passed before the backend server answered"
     end_with_unknown_outcome(world, row, make_refusal(AnswerLostError, detail), now)
--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -37,6 +37,9 @@
 RETRY_AFTER_S = 0.25
 # Shortest time after which an answer is overdue.
 OVERDUE_MIN_S = 0.25
+# Longest fraction of the remaining time for connecting, so that time is left to send
+# the request to another server or to refuse it.
+CONNECT_FRACTION_MAX = 0.5
 
 
 def _send(world: World, row: RequestRow, choice: Candidate, now: Instant) -> None:
@@ -64,14 +67,16 @@
     expected_s = choice.wait_s + mean_run_time_s(world, row.service)
     due_s = now.monotonic_s + max(OVERDUE_MIN_S, OVERDUE_FACTOR * expected_s)
     start_timer(world, TimerKind.OVERDUE, str(attempt_id), due_s)
+    remaining_s = row.deadline_s - now.monotonic_s
     command = commands.SendAttempt(
         attempt_id,
         row.caller_request_id,
         server.address,
         row.message,
-        row.deadline_s - now.monotonic_s,
+        remaining_s,
         server.server_id,
         row.is_idempotent,
+        CONNECT_FRACTION_MAX * remaining_s,
     )
     send(world, command)
 
--- a/burdockhitch/systems/direct/intake.py
+++ b/burdockhitch/systems/direct/intake.py
@@ -119,9 +119,11 @@
 def _handle_disconnect(world: World, row: RequestRow, now: Instant) -> None:
     """End a request whose caller disconnected.
 
-    A request that isn't idempotent and was already sent runs on without its caller.
+    A request that isn't idempotent and may have been sent runs on without its caller.
     """
-    if row.attempt_id and not row.is_idempotent:
+    attempt = world.attempts.get(row.attempt_id)
+    may_be_sent = attempt is not None and not attempt.is_connecting
+    if may_be_sent and not row.is_idempotent:
         world.requests.replace(row._replace(connection_id=0))
         return
     abandon_request(world, row, now)
--- a/burdockhitch/tables/requests.py
+++ b/burdockhitch/tables/requests.py
@@ -112,6 +112,8 @@
         started_at_s: Monotonic time at which this VM sent it.
         wait_s: Time that the request was expected, when it was sent, to wait for a
             slot of the server.
+        is_connecting: Whether its connection is not established yet, so that no byte
+            of the request has left this VM.
     """
 
     attempt_id: int
@@ -120,6 +122,7 @@
     service: str
     started_at_s: float
     wait_s: float = 0.0
+    is_connecting: bool = False
 
 
 class UnknownOutcomeRow(NamedTuple):
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -7,6 +7,7 @@
 the failure.
 """
 
+import math
 from typing import Any, NamedTuple
 
 from burdockhitch import events
@@ -24,6 +25,10 @@
     encode_snapshot,
 )
 from burdockhitch.registry import Registry
+from burdockhitch.systems.direct.connecting import (
+    record_connected,
+    record_connecting,
+)
 from burdockhitch.systems.direct.snapshots import (
     is_sending_copies,
     make_snapshot,
@@ -120,20 +125,48 @@
     )
     fleet.issued_attempts.append(attempt)
     behaviour = fleet.behaviour_by_server[command.server_id]
-    if (vm_id, command.server_id) in fleet.blocked_links:
-        behaviour = "unreachable"
-    elif (vm_id, command.server_id) in fleet.lost_answers:
+    if (vm_id, command.server_id) in fleet.lost_answers:
         behaviour = "mute"
-    delay_s, is_executed, outcome = behaviours[behaviour](fleet, command)
-    if is_executed:
-        fleet.executed_attempts.append(attempt)
-    if delay_s is None:
-        return
-    if isinstance(outcome, Answer):
-        event = events.BackendAnswered(command.attempt_id, outcome)
+
+    def send_request():
+        delay_s, is_executed, outcome = behaviours[behaviour](fleet, command)
+        if outcome is not AttemptFailure.NOT_SENT:
+            fleet.sent_attempts.append(attempt)
+        if is_executed:
+            fleet.executed_attempts.append(attempt)
+        if delay_s is None:
+            return
+        if isinstance(outcome, Answer):
+            event = events.BackendAnswered(command.attempt_id, outcome)
+        else:
+            event = events.BackendFailed(command.attempt_id, outcome)
+        fleet.later(delay_s, lambda: fleet.post(vm_id, event))
+
+    connect_delay_s = fleet.connect_delay_s.get(command.server_id, 0.0)
+    if (vm_id, command.server_id) in fleet.blocked_links:
+        connect_delay_s = math.inf
+    if connect_delay_s:
+        _connect(fleet, vm_id, command, connect_delay_s, send_request)
     else:
-        event = events.BackendFailed(command.attempt_id, outcome)
-    fleet.later(delay_s, lambda: fleet.post(vm_id, event))
+        send_request()
+
+
+def _connect(fleet, vm_id, command, delay_s, send_request):
+    """Send a request after a delay, unless it is cancelled or a limit passes before."""
+    world = fleet.worlds[vm_id]
+    record_connecting(world, command.attempt_id)
+
+    def finish():
+        if command.attempt_id in world.attempts and fleet.worlds.get(vm_id) is world:
+            record_connected(world, command.attempt_id)
+            send_request()
+
+    limit_s = min(fleet.connect_timeout_s, command.connect_timeout_s)
+    if fleet.are_connects_limited and delay_s > limit_s:
+        failure = events.BackendFailed(command.attempt_id, AttemptFailure.NOT_SENT)
+        fleet.later(limit_s, lambda: fleet.post(vm_id, failure))
+    elif delay_s < math.inf:
+        fleet.later(delay_s, finish)
 
 
 @handlers("CancelAttempt")
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -122,6 +122,10 @@
         server_wait_s: Seconds that a request queues at a server, by server ID.
         blocked_links: Pairs (VM, VM or server) between which nothing gets through in
             this direction.
+        connect_delay_s: Seconds until a connection is established, by server ID.
+        connect_timeout_s: The VMs' limit for opening a connection.
+        are_connects_limited: Whether that limit and those of attempts are kept; False
+            as if every limit's timer were late.
         lost_answers: Pairs (VM, server) whose requests arrive but whose answers don't.
         loss_ratio: Probability that a message between VMs is lost.
         link_bytes_per_s: Speed of each VM's link, for the copies that others make of
@@ -130,6 +134,7 @@
         executed_attempts: Attempts that a server executed.
         issued_attempts: Attempts that VMs issued to servers, also rejected and
             unreachable ones.
+        sent_attempts: Issued attempts of which a byte may have left the VM.
         caller_replies: Replies to callers by connection ID.
         cancelled_attempt_ids: IDs of the attempts that VMs cancelled.
         stopped_vm_ids: IDs of VMs that asked for the end of their process.
@@ -144,12 +149,16 @@
         self.behaviour_by_server: dict[str, str] = {}
         self.server_wait_s: dict[str, float] = {}
         self.blocked_links: set[tuple[str, str]] = set()
+        self.connect_delay_s: dict[str, float] = {}
+        self.connect_timeout_s = 0.25
+        self.are_connects_limited = True
         self.lost_answers: set[tuple[str, str]] = set()
         self.loss_ratio = 0.0
         self.link_bytes_per_s = float("inf")
         self.snapshot_bytes: list[int] = []
         self.executed_attempts: list[IssuedAttempt] = []
         self.issued_attempts: list[IssuedAttempt] = []
+        self.sent_attempts: list[IssuedAttempt] = []
         self.caller_replies: dict[int, CallerReply] = {}
         self.cancelled_attempt_ids: list[int] = []
         self.stopped_vm_ids: set[str] = set()
--- a/burdockhitch/tests/test_direct_requests.py
+++ b/burdockhitch/tests/test_direct_requests.py
@@ -1,5 +1,6 @@
 """Tests how direct mode sends, retries, refuses and answers requests."""
 
+import math
 from collections import Counter
 from itertools import cycle, pairwise
 
@@ -7,6 +8,7 @@
 
 from burdockhitch import events
 from burdockhitch.direct_messages import Observation, Report, ServerLoad
+from burdockhitch.problems import is_not_run
 from burdockhitch.systems.direct.reports import (
     replace_reported_loads,
     report_observation,
@@ -152,6 +154,109 @@
     assert is_failing != is_given_up_at_once
 
 
+NOT_RUN = {"NoBackendServer", "DeadlineTooShort", "Overloaded"}
+NEVER_S = math.inf
+
+
+@pytest.mark.parametrize("are_connects_limited", [True, False])
+@pytest.mark.parametrize("route", [IDEMPOTENT, AT_MOST_ONCE])
+@pytest.mark.parametrize("timeout_s", [0.15, 0.2, 0.24, 0.26, 0.45, 2.0])
+@pytest.mark.parametrize("n_servers", [1, 2])
+def test_a_request_that_never_left_is_not_answered_with_an_unknown_outcome(
+    n_servers, timeout_s, route, are_connects_limited
+):
+    fleet = start_vm_with_servers(["ok"] * n_servers, **route, timeout_s=timeout_s)
+    fleet.are_connects_limited = are_connects_limited
+    fleet.connect_delay_s = dict.fromkeys(fleet.behaviour_by_server, NEVER_S)
+    started_s = fleet.clock.elapsed_s
+    connection = fleet.send("vm-0")
+    fleet.run(3.0)
+    assert fleet.status(connection) in NOT_RUN
+    reply = fleet.caller_replies[connection]
+    assert is_not_run(reply.command.refusal.error)
+    assert reply.command.refusal.retry_after_s > 0
+    assert reply.at_s - started_s <= timeout_s + 0.001
+    world = fleet.worlds["vm-0"]
+    assert not len(world.attempts) and not len(world.requests)
+
+
+@pytest.mark.parametrize("route", [IDEMPOTENT, AT_MOST_ONCE])
+@pytest.mark.parametrize("timeout_s", [0.3, 2.0])
+@pytest.mark.parametrize(
+    ("connect_delay_s", "is_sent"),
+    [(0.0, True), (0.02, True), (0.1, True), (NEVER_S, False)],
+)
+def test_not_run_is_said_only_before_the_first_byte_may_have_left(
+    connect_delay_s, is_sent, timeout_s, route
+):
+    fleet = start_vm_with_servers(["mute"], **route, timeout_s=timeout_s)
+    fleet.connect_delay_s["1"] = connect_delay_s
+    connection = fleet.send("vm-0")
+    fleet.run(3.0)
+    assert (fleet.status(connection) == "AnswerLost") == is_sent
+    assert (fleet.status(connection) in NOT_RUN) != is_sent
+    assert len(fleet.executed_attempts) == is_sent
+
+
+@pytest.mark.parametrize("are_connects_limited", [True, False])
+@pytest.mark.parametrize("timeout_s", [0.6, 2.0])
+@pytest.mark.parametrize("route", [IDEMPOTENT, AT_MOST_ONCE])
+def test_a_server_that_a_vm_cannot_reach_is_avoided_by_this_vm_alone(
+    route, timeout_s, are_connects_limited
+):
+    fleet = start_fleet(n_vms=2, n_servers=2)
+    fleet.configure(2, make_route(**route, timeout_s=timeout_s))
+    fleet.run(1.0)
+    fleet.are_connects_limited = are_connects_limited
+    fleet.send("vm-0")
+    server_id = fleet.issued_attempts[-1].server_id
+    fleet.run(1.0)
+    fleet.connect_delay_s[server_id] = NEVER_S
+    fleet.issued_attempts.clear()
+    connections = []
+    while server_id not in {attempt.server_id for attempt in fleet.issued_attempts}:
+        connections.append(fleet.send("vm-0"))
+        fleet.run(0.01)
+    fleet.run(0.4)
+    now = fleet.clock.now()
+    estimates = [
+        world.server_estimates.fetch(server_id) for world in fleet.worlds.values()
+    ]
+    assert all(p_failing(row, now) <= P_FAILING_STATIONARY for row in estimates)
+    avoided = [row.avoided_until_s > now.monotonic_s for row in estimates]
+    assert avoided == [True, False]
+    assert [row.n_unanswered for row in estimates] == [0, 0]
+    fleet.run(1.0)
+    assert {fleet.status(connection) for connection in connections} == {"200"}
+
+
+@pytest.mark.parametrize("route", [IDEMPOTENT, AT_MOST_ONCE])
+@pytest.mark.parametrize("connect_delay_s", [0.1, NEVER_S])
+def test_a_callers_disconnect_cancels_attempts_of_which_nothing_was_sent(
+    connect_delay_s, route
+):
+    fleet = start_vm_with_servers(["ok", "ok"], **route)
+    fleet.connect_delay_s = dict.fromkeys(fleet.behaviour_by_server, connect_delay_s)
+    connection = fleet.send("vm-0")
+    fleet.run(0.02)
+    fleet.post("vm-0", events.CallerDisconnected(connection))
+    assert len(fleet.cancelled_attempt_ids) == 1
+    fleet.run(3.0)
+    assert fleet.executed_attempts == []
+    assert len(fleet.issued_attempts) == 1
+    assert not len(fleet.worlds["vm-0"].requests)
+
+
+@pytest.mark.parametrize("behaviour", ["shed", "misdirected", "unreachable"])
+def test_a_request_that_did_not_run_is_not_sent_again_without_its_caller(behaviour):
+    fleet = start_vm_with_servers([behaviour, behaviour], **AT_MOST_ONCE)
+    connection = fleet.send("vm-0")
+    fleet.post("vm-0", events.CallerDisconnected(connection))
+    fleet.run(3.0)
+    assert len(fleet.issued_attempts) == 1
+    assert not len(fleet.worlds["vm-0"].requests)
+
+
 ROUTES = (
     make_route("short", prefix="/a/"),
     make_route("long", prefix="/a/b/"),
--- a/burdockhitch/tests/test_platform_backends.py
+++ b/burdockhitch/tests/test_platform_backends.py
@@ -1,5 +1,6 @@
 """Tests how attempts use new and idle connections to backend servers."""
 
+import pytest
 from twisted.internet.testing import MemoryReactorClock
 
 from burdockhitch import commands, events
@@ -30,7 +31,7 @@
         self.events.append(event)
 
 
-def start_attempt(fleet, timeout_s=2.0):
+def start_attempt(fleet, timeout_s=2.0, connect_timeout_s=1.0):
     """Return a process with one attempt without an idle connection, and its command."""
     world = fleet.worlds["vm-0"]
     world.attempts.insert(AttemptRow(ATTEMPT_ID, "r", "1", "booking", 0.0))
@@ -48,11 +49,35 @@
         message,
         timeout_s,
         "1",
+        connect_timeout_s=connect_timeout_s,
     )
     send_attempt(process, command)
     return process, command
 
 
+def is_connecting(process):
+    return process.world.attempts.fetch(ATTEMPT_ID).is_connecting
+
+
+def test_an_attempt_is_connecting_until_its_first_byte_may_leave():
+    process, _command = start_attempt(start_fleet(n_vms=1))
+    assert is_connecting(process)
+    connection = connect(process.reactor)
+    assert not is_connecting(process)
+    assert connection.transport.value().startswith(b"GET /a/ ")
+    assert process.ticker.events == []
+
+
+def test_an_attempt_on_an_idle_connection_is_never_connecting():
+    process, command = start_attempt(start_fleet(n_vms=1))
+    connection = connect(process.reactor)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    connection.transport.clear()
+    send_attempt(process, command)
+    assert connection.transport.value().startswith(b"GET /a/ ")
+    assert not is_connecting(process)
+
+
 def test_a_refused_connection_ends_an_attempt_as_not_sent():
     process, _command = start_attempt(start_fleet(n_vms=1))
     refuse_connection(process.reactor)
@@ -66,3 +91,24 @@
     cancel_attempt(process, commands.CancelAttempt(ATTEMPT_ID))
     assert connect(process.reactor).transport.value() == b""
     assert process.ticker.events == []
+
+
+def test_nothing_is_sent_over_a_connection_established_after_the_deadline():
+    fleet = start_fleet(n_vms=1)
+    process, _command = start_attempt(fleet, timeout_s=0.1)
+    fleet.clock.elapsed_s += 0.2
+    assert connect(process.reactor).transport.value() == b""
+    assert process.ticker.events == [
+        events.BackendFailed(ATTEMPT_ID, events.AttemptFailure.NOT_SENT)
+    ]
+
+
+@pytest.mark.parametrize("connect_timeout_s", [0.001, TIMEOUT_S, 10 * TIMEOUT_S])
+def test_connecting_ends_at_the_limit_of_the_attempt_or_of_the_settings(
+    connect_timeout_s,
+):
+    process, _command = start_attempt(
+        start_fleet(n_vms=1), connect_timeout_s=connect_timeout_s
+    )
+    [(_host, _port, _factory, timeout_s, _bind)] = process.reactor.tcpClients
+    assert timeout_s == min(connect_timeout_s, TIMEOUT_S)
--- a/burdockhitch/tests/test_platform_processes.py
+++ b/burdockhitch/tests/test_platform_processes.py
@@ -1,7 +1,9 @@
 """Tests processes of the platform front end with stand-in servers and registry."""
 
+import contextlib
 import json
 import signal
+import socket
 import time
 from collections import Counter
 from itertools import count
@@ -146,6 +148,75 @@
     )
 
 
+@contextlib.contextmanager
+def run_silent_listener(ip):
+    """Yield the address of a socket whose full queue drops the packets that open."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server((ip, 0), backlog=0))
+        address = listener.getsockname()
+        for _ in range(3):
+            client = stack.enter_context(socket.socket())
+            client.setblocking(False)
+            client.connect_ex(address)
+        yield f"{ip}:{address[1]}"
+
+
+@pytest.mark.parametrize(
+    ("method", "path"), [("GET", "/tours/1"), ("POST", "/holds/1")]
+)
+def test_a_request_whose_opening_packet_is_lost_gets_a_503_before_its_deadline(
+    fleet, method, path
+):
+    service = f"silent-{method.lower()}"
+    address = fleet.vms[0].caller_address
+    document = platform.make_configuration(next(CONFIGURATION_VERSIONS))
+    replaced = platform.make_configuration(
+        next(CONFIGURATION_VERSIONS), service=service
+    )
+    replaced["services"].append({**replaced["services"][0], "name": service})
+
+    def send(deadline_ms):
+        headers = {
+            "Host": platform.HOST,
+            "Request-Id": f"{service}-{deadline_ms}",
+            "Deadline-Ms": str(deadline_ms),
+        }
+        body = b"x" if method == "POST" else None
+        return tool.send_request(address, method, path, body, headers)
+
+    def is_listed():
+        state = tool.get_json(fleet.vms[0].admin_address, "/state")
+        rows = state["tables"]["backend_servers"]
+        routes = state["tables"]["prefix_routes"]
+        is_routed = any(service in str(row["targets"]) for row in routes)
+        return is_routed and service in {row["service"] for row in rows}
+
+    with run_silent_listener("127.0.1.250") as server_address:
+        server = fleet.servers[0]._replace(address=server_address, service=service)
+        platform.register_server(fleet.store_address, server)
+        platform.put_row(fleet.store_address, "op", "config", replaced)
+        tool.wait_until(is_listed, "server with a full queue", WAIT_MAX_S)
+        replies = [send(deadline_ms) for deadline_ms in (180, 220, 240, 300)]
+        started_s = time.monotonic()
+        replies.append(send(900))
+        elapsed_s = time.monotonic() - started_s
+        platform.register_server(fleet.store_address, server, "draining")
+    document["version"] = next(CONFIGURATION_VERSIONS)
+    platform.put_row(fleet.store_address, "op", "config", document)
+    tool.wait_until(
+        lambda: all(
+            platform.send_caller_request(vm.caller_address, "after").status == 200
+            for vm in fleet.vms
+        ),
+        "restored configuration at every VM",
+        WAIT_MAX_S,
+    )
+    assert [reply.status for reply in replies] == [503] * len(replies)
+    assert all("retry-after" in reply.headers for reply in replies)
+    # The limit for connecting is 250 ms.
+    assert elapsed_s < 0.6
+
+
 def test_a_draining_server_gets_no_new_requests(fleet):
     server = fleet.servers[1]
     platform.register_server(fleet.store_address, server, "draining")
