Delay connections in random sequences, and count retries that were sent

The new step delays new connections to a server by up to 0.66 s (limit 0.25 s), so that sequences check "not run" and the end of all requests there, too.

The check of the retry budget counted all attempts beyond the number of requests. It now sums, for each request, the attempts after the first of which a byte may have left. That is as strict for retries and stricter where requests are refused at once, which offset the retries of others before.

--- a/burdockhitch/tests/direct_steps.py
+++ b/burdockhitch/tests/direct_steps.py
@@ -109,10 +109,10 @@
                 )
         settings = next(iter(self.settings.values())).direct
         n_retries_max = settings.retry_ratio * self.n_requests + settings.retry_slack
-        if len(fleet.issued_attempts) - self.n_requests > n_retries_max:
-            self.violations.append(
-                f"{len(fleet.issued_attempts)} attempts exceed the retry budget"
-            )
+        sends = Counter(attempt.request_id for attempt in fleet.sent_attempts)
+        n_retries = sum(n_sends - 1 for n_sends in sends.values())
+        if n_retries > n_retries_max:
+            self.violations.append(f"{n_retries} retries exceed the retry budget")
 
 
 step_kinds: Registry[Callable[[DirectSequence, int, int], None]] = Registry(
@@ -140,12 +140,20 @@
     ]
 
 
+@step_kinds("connect")
+def delay_connections(sequence, first, second):
+    """Delay new connections to a server by ``0.06 * second`` seconds."""
+    server_id = sequence.server_id(first)
+    sequence.fleet.connect_delay_s[server_id] = 0.06 * second
+
+
 @step_kinds("heal")
 def end_all_faults(sequence, first, second):
     """End all faults of servers, links, messages and registry calls."""
     fleet = sequence.fleet
     fleet.behaviour_by_server = dict.fromkeys(fleet.behaviour_by_server, "ok")
     fleet.blocked_links.clear()
+    fleet.connect_delay_s.clear()
     fleet.loss_ratio = 0.0
     fleet.registry.refused_vms.clear()
 
