Start the platform's VMs without the command line

Callers saw: after all VMs lost power, address queries failed until the processes had started, and most of that time is processor time of the start.

Cause: `burdockhitch serve` loads typer, which loads pydantic, and builds the parsers of all commands, to read one option and one environment variable.

Change: `python -m burdockhitch.platform` takes no arguments, reads the path of the settings from BURDOCKHITCH_NODE_FILE as `serve` does, and runs the same registered front end. There is no second parser. Exit codes and the mapping of errors to them moved from the command line to `exits`, which both programs use. The process tests of the platform start this program.

Ruled out: importing typer lazily (the call still needs it to read its arguments), disabling pydantic's plugins (typer already does, and pydantic itself is the larger part).

--- a/burdockhitch/__main__.py
+++ b/burdockhitch/__main__.py
@@ -2,8 +2,8 @@
 
 import sys
 
-from burdockhitch.command import EXIT_FAILED, EXIT_OK, app, exit_code_for
-from burdockhitch.errors import BurdockhitchError
+from burdockhitch.command import app
+from burdockhitch.exits import run_program
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -15,17 +15,7 @@
     Returns:
         The exit code.
     """
-    try:
-        app(args=argv, prog_name="burdockhitch")
-    except BurdockhitchError as error:
-        sys.stderr.write(f"{error}\n")
-        return exit_code_for(error)
-    except OSError as error:
-        sys.stderr.write(f"{error}\n")
-        return EXIT_FAILED
-    except SystemExit as exit_request:
-        return exit_request.code if isinstance(exit_request.code, int) else EXIT_FAILED
-    return EXIT_OK
+    return run_program(lambda: app(args=argv, prog_name="burdockhitch"))
 
 
 def run() -> None:
--- a/burdockhitch/command.py
+++ b/burdockhitch/command.py
@@ -15,22 +15,13 @@
 
 from burdockhitch import __version__
 from burdockhitch.clock import SystemClock
-from burdockhitch.errors import (
-    BurdockhitchError,
-    LargeDeletionError,
-    MergeConflictError,
-    PlatformUnavailableError,
-    RequestNotLoggedError,
-    RulesFileError,
-    SettingsError,
+from burdockhitch.errors import PlatformUnavailableError, RequestNotLoggedError
+from burdockhitch.front_ends import (
+    DEFAULT_FRONT_END,
+    SETTINGS_FILE_VARIABLE,
+    front_ends,
 )
-from burdockhitch.front_ends import DEFAULT_FRONT_END, front_ends
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_INVALID_INPUT = 2
-EXIT_CONFLICT = 3
-EXIT_UNAVAILABLE = 4
 HTTP_TIMEOUT_S = 5.0
 
 app = typer.Typer(
@@ -52,27 +43,11 @@
 AdminOption = Annotated[str, typer.Option(help="Admin address of a VM, ip:port.")]
 JsonOption = Annotated[bool, typer.Option("--json", help="Write JSON.")]
 
-_EXIT_CODE_BY_ERROR: tuple[tuple[type[BurdockhitchError], int], ...] = (
-    (RulesFileError, EXIT_INVALID_INPUT),
-    (SettingsError, EXIT_INVALID_INPUT),
-    (MergeConflictError, EXIT_CONFLICT),
-    (LargeDeletionError, EXIT_CONFLICT),
-    (PlatformUnavailableError, EXIT_UNAVAILABLE),
-)
-
 
 def _write_json(document: Any) -> None:
     sys.stdout.write(msgspec.json.encode(document, enc_hook=str).decode() + "\n")
 
 
-def exit_code_for(error: BurdockhitchError) -> int:
-    """Return the exit code for an error; the first matching type decides."""
-    for error_type, code in _EXIT_CODE_BY_ERROR:
-        if isinstance(error, error_type):
-            return code
-    return EXIT_FAILED
-
-
 def _run_in_reactor(make_coroutine: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
     """Run a coroutine in the reactor and return its result or raise its error."""
     from twisted.internet import reactor
@@ -108,7 +83,7 @@
     settings: Annotated[
         Path,
         typer.Option(
-            help="INI file with the VM's settings.", envvar="BURDOCKHITCH_NODE_FILE"
+            help="INI file with the VM's settings.", envvar=SETTINGS_FILE_VARIABLE
         ),
     ],
     front_end: Annotated[
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -39,6 +39,21 @@
         return f"{place} = {self.value!r}: expected {self.expected}"
 
 
+class MissingSettingsFileError(BurdockhitchError):
+    """The environment names no settings file.
+
+    Args:
+        variable: Environment variable that should name it.
+    """
+
+    def __init__(self, variable: str) -> None:
+        super().__init__(variable)
+        self.variable = variable
+
+    def __str__(self) -> str:
+        return f"{self.variable}: expected the path of the settings file"
+
+
 class RulesError(BurdockhitchError):
     """A line of a rules file is invalid.
 
--- a/burdockhitch/front_ends.py
+++ b/burdockhitch/front_ends.py
@@ -12,6 +12,8 @@
 FrontEnd = Callable[[Path], None]
 front_ends: Registry[FrontEnd] = Registry("front end")
 DEFAULT_FRONT_END = "native"
+# Environment variable with the path of the settings file.
+SETTINGS_FILE_VARIABLE = "BURDOCKHITCH_NODE_FILE"
 
 
 @front_ends("native")
--- a/burdockhitch/tests/test_command.py
+++ b/burdockhitch/tests/test_command.py
@@ -3,13 +3,6 @@
 import pytest
 
 from burdockhitch.__main__ import main
-from burdockhitch.command import (
-    EXIT_FAILED,
-    EXIT_INVALID_INPUT,
-    EXIT_OK,
-    EXIT_UNAVAILABLE,
-    exit_code_for,
-)
 from burdockhitch.errors import (
     LargeDeletionError,
     MergeConflictError,
@@ -17,6 +10,13 @@
     RulesFileError,
     UnknownNameError,
 )
+from burdockhitch.exits import (
+    EXIT_FAILED,
+    EXIT_INVALID_INPUT,
+    EXIT_OK,
+    EXIT_UNAVAILABLE,
+    exit_code_for,
+)
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
 VALID_RULES = "service s floor=0slots # K\n"
--- a/burdockhitch/tests/test_outer_names.py
+++ b/burdockhitch/tests/test_outer_names.py
@@ -63,7 +63,7 @@
     "Values of labels": ("systems", "errors.py", "tables/timers.py", "adapters"),
     "Commands that a counter names": ("commands.py",),
     "Commands and flags of the program": ("command.py",),
-    "Environment variables": ("command.py",),
+    "Environment variables": ("command.py", "front_ends.py"),
     "Keys of the deploy file": ("../deploy/system.toml",),
     "Names in the settings template": ("../deploy/node.ini",),
 }
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -166,12 +166,27 @@
     send_request(address, "PUT", path, json.dumps(document).encode())
 
 
-def start_process(folder: Path, name: str, arguments: list[str]) -> Any:
-    """Start ``burdockhitch`` with its output appended to ``folder/name.log``."""
+def start_process(
+    folder: Path,
+    name: str,
+    arguments: list[str],
+    module: str = "burdockhitch",
+    environment: dict[str, str] | None = None,
+) -> Any:
+    """Start a program with its output appended to ``folder/name.log``.
+
+    Args:
+        folder: Folder of the log file.
+        name: Name of the log file, without suffix.
+        arguments: Arguments of the program.
+        module: Module or package that is run.
+        environment: Added to the environment of this process.
+    """
     log_path = folder / f"{name}.log"
     with log_path.open("ab") as log_file:
         return subprocess.Popen(
-            [sys.executable, "-m", "burdockhitch", *arguments],
+            [sys.executable, "-m", module, *arguments],
+            env={**os.environ, **(environment or {})},
             stdout=log_file,
             stderr=log_file,
             stdin=subprocess.DEVNULL,
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from burdockhitch.front_ends import SETTINGS_FILE_VARIABLE
 from tools import fleet as tool
 
 TEMPLATE = Path(__file__).parent.parent / "deploy" / "node.ini"
@@ -153,8 +154,13 @@
     }
     path = folder / f"vm-{number}.ini"
     path.write_text(fill_template(TEMPLATE.read_text(), values))
-    arguments = ["serve", "--front-end", "platform", "--settings", str(path)]
-    process = tool.start_process(folder, f"vm-{number}", arguments)
+    process = tool.start_process(
+        folder,
+        f"vm-{number}",
+        [],
+        module="burdockhitch.platform",
+        environment={SETTINGS_FILE_VARIABLE: str(path)},
+    )
     return PlatformVm(
         values["nodeName"],
         ip,
