Load on each VM only the systems of its sending mode

Callers saw: queries failed until the processes of restarted VMs had loaded their modules.

Cause: importing any system loaded `systems/__init__`, which imported the systems of VMs that own backend servers; VMs with direct sending never run those.

Change: `systems.owned` holds that list, beside `systems.direct`; each daemon imports its own.

Without the other mode's handlers, a message that only those handle would make the tick fail with UnknownNameError. It is now counted in messages_dropped with reason MessageUnhandled, and the rest of the tick runs. Before, a VM with direct sending ran such handlers on its tables.

The order of systems in a phase is that of registration. It is the same as before for both daemons (lists compared), and a test compares it after several other first imports.

The test of unhandled messages fails without the check in `deliver_messages`. The benchmark `decisions` imports the list itself now; it was not run.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -12,12 +12,15 @@
 from burdockhitch.clock import SystemClock
 from burdockhitch.messages import Answer, RequestMessage
 from burdockhitch.settings import PlatformSettings, Settings, VmSettings
+from burdockhitch.systems import owned
 from burdockhitch.systems.confirmation import PLATFORM_SOURCE, record_confirmation
 from burdockhitch.systems.membership import start_membership
 from burdockhitch.systems.phases import run_tick
 from burdockhitch.systems.revision_exchange import apply_revision
 from burdockhitch.world import World, make_world, post_event
 
+# Imported because it registers the systems.
+REGISTERED_MODULES = (owned,)
 N_REQUESTS = 3000
 SERVERS_PER_SERVICE = 36
 N_SERVERS = (10, 100, 1000, 10_000, 40_000)
--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -9,7 +9,7 @@
 import treq.client
 from twisted.web.server import Site
 
-from burdockhitch import commands, events, log, systems
+from burdockhitch import commands, events, log
 from burdockhitch.adapters import callers, links, platform, servers
 from burdockhitch.adapters.admin import AdminApp
 from burdockhitch.adapters.listening import EXIT_DELAY_S, listen, stop_listening
@@ -19,6 +19,7 @@
 from burdockhitch.adapters.signals import SignalHandlers
 from burdockhitch.adapters.state import write_dump
 from burdockhitch.settings import Settings
+from burdockhitch.systems import owned
 from burdockhitch.systems.configuration import start_platform_reads
 from burdockhitch.systems.ejection import floor_guards
 from burdockhitch.systems.health import detectors
@@ -28,7 +29,7 @@
 from burdockhitch.world import World
 
 # Imported because these modules register command handlers and systems.
-REGISTERED_MODULES = (callers, links, platform, servers, systems)
+REGISTERED_MODULES = (callers, links, owned, platform, servers)
 
 
 @command_handlers("LogEvent")
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -243,6 +243,10 @@
     """The message belongs to another fleet."""
 
 
+class MessageUnhandledError(MessageError):
+    """VMs with this VM's sending mode don't handle such messages."""
+
+
 class MessageSizeError(MessageError):
     """The message exceeds the size limit."""
 
--- a/burdockhitch/systems/timing.py
+++ b/burdockhitch/systems/timing.py
@@ -5,7 +5,7 @@
 
 from burdockhitch import direct_messages, events
 from burdockhitch.clock import Instant
-from burdockhitch.errors import MessageError, error_name
+from burdockhitch.errors import MessageError, MessageUnhandledError, error_name
 from burdockhitch.messages import vm_messages
 from burdockhitch.registry import Registry
 from burdockhitch.systems.phases import SENDING_MODES, Phase, system
@@ -65,6 +65,8 @@
         stop_timer(world, TimerKind.OWNER_UNREACHABLE, event.sender_vm_id)
         kind = KIND_BY_MESSAGE_TYPE[type(event.message)]
         try:
+            if kind not in message_handlers:
+                raise MessageUnhandledError(kind)
             message_handlers[kind](world, event.sender_vm_id, event.message, now)
         except MessageError as error:
             count(world, "messages_dropped", "reason", error_name(error))
--- a/burdockhitch/tests/fakes.py
+++ b/burdockhitch/tests/fakes.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-import burdockhitch.systems  # noqa: F401
+import burdockhitch.systems.owned  # noqa: F401
 from burdockhitch import events
 from burdockhitch.adapters.codec import decode_message, encode_message
 from burdockhitch.clock import Instant
--- a/burdockhitch/tests/test_loop.py
+++ b/burdockhitch/tests/test_loop.py
@@ -5,10 +5,11 @@
 
 from burdockhitch import commands, events
 from burdockhitch.adapters.loop import Ticker
-from burdockhitch.systems import phases
+from burdockhitch.messages import Join
+from burdockhitch.systems import phases, timing
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tests.fakes import FakeFleet
-from burdockhitch.world import log_event, start_timer
+from burdockhitch.world import log_event, post_event, start_timer
 
 
 def make_ticker(monkeypatch, run_tick, read_pending=None):
@@ -73,3 +74,16 @@
     ticker.request_tick()
     reactor.advance(10.0)
     assert n_events_by_tick == [n_collected]
+
+
+@pytest.mark.parametrize("n_messages", [1, 3])
+def test_messages_of_another_sending_mode_are_counted_and_fail_no_tick(
+    monkeypatch, n_messages
+):
+    world = FakeFleet().add_vm("a1", "a")
+    monkeypatch.delitem(timing.message_handlers._entries, "join")
+    for _ in range(n_messages):
+        post_event(world, events.VmMessageArrived("a2", Join(None)))
+    phases.run_tick(world)
+    key = ("messages_dropped", "reason", "MessageUnhandled")
+    assert [row.value for row in world.counters if row.key == key] == [n_messages]
--- a/burdockhitch/tests/test_platform_start.py
+++ b/burdockhitch/tests/test_platform_start.py
@@ -66,6 +66,9 @@
     "name",
     [
         "burdockhitch.command",
+        "burdockhitch.adapters.admin",
+        "burdockhitch.systems.owned",
+        "burdockhitch.systems.windows",
         "typer",
         "pydantic",
         "rich",
@@ -94,3 +97,34 @@
     result = run_program(environment)
     assert result.returncode == EXIT_INVALID_INPUT
     assert (path or SETTINGS_FILE_VARIABLE) in result.stderr
+
+
+def read_system_order(mode, *modules):
+    """Return the systems of a mode in order, after importing modules in order."""
+    program = (
+        f"import {', '.join(modules)}\n"
+        "from burdockhitch.systems import phases\n"
+        f"for system in phases._ordered_systems({mode!r}):\n"
+        "    print(system.__module__, system.__name__)\n"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    return result.stdout.splitlines()
+
+
+@pytest.mark.parametrize(
+    ("mode", "modules"),
+    [
+        ("owned", ["burdockhitch.adapters.daemon"]),
+        ("owned", ["burdockhitch.systems.windows", "burdockhitch.systems.owned"]),
+        ("owned", ["burdockhitch.systems.direct", "burdockhitch.systems.owned"]),
+        ("direct", ["burdockhitch.platform.daemon"]),
+        ("direct", ["burdockhitch.systems.owned", "burdockhitch.systems.direct"]),
+        ("direct", ["burdockhitch.platform.daemon", "burdockhitch.adapters.admin"]),
+    ],
+)
+def test_systems_run_in_the_same_order_whatever_was_imported_before(mode, modules):
+    order = read_system_order(mode, *modules)
+    assert order
+    assert order == read_system_order(mode, f"burdockhitch.systems.{mode}")
