--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -450,7 +450,7 @@
     sent_bytes, after_s, statuses
 ):
     fleet = DirectFleet()
-    world = fleet.add_vm("vm-0")
+    world = fleet.add_vm("vm-0", link_mbps=LINK_BYTES_PER_S / 125_000)
     read_servers_in_steps(world)
     for n_bytes in sent_bytes:
         record_sent_copy(world, n_bytes, fleet.clock.now())
