Let copies of changes carry their base version and the source's gaps

What callers saw: after a route was changed and changed back, or a backend server was listed and removed, a VM could keep the reverted entry under the newest version, until that entry changed again.

Cause: versions that a VM skipped by reading a whole part were known to that VM alone. A VM that copied changes from it offered changes for the skipped versions, too, so an entry that changed and changed back was missing for a VM that held a version in between. The same happened if a VM got another version while a copy of changes was under way: the changes were merged into a version that they don't apply to.

Fix: copied changes carry the version that they apply to, and the source's gaps after that version. They are dropped, with the log event stale_copy_dropped, unless the VM still holds that version. The source's versions are then noted, so that the next copy starts without waiting for a heartbeat.

Why it works: a copier stores all copied entries under the new version. The source's answer for any version in between is a subset of them, unless that version is in one of the source's gaps, and these are now the copier's, too. So the claim of registry_changes holds by induction over copies, and a version costs a whole copy only if the source, or a source before it, skipped it.

Ruled out: a gap for each copy of changes. It is right as well, but all versions between the copier's two would cost a whole copy, also those that the source knows.

The format of copies changes; VMs of builds before and after it can't copy from each other.

--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -4,7 +4,7 @@
 
 from burdockhitch.messages import vm_messages
 from burdockhitch.tables.backend_servers import BackendServerRow
-from burdockhitch.tables.registry_views import ConfigurationDocument
+from burdockhitch.tables.registry_views import ConfigurationDocument, RegistryGap
 from burdockhitch.tables.vms import VmRow
 
 
@@ -16,11 +16,16 @@
             ``is_complete``.
         removed_route_ids: Routes that were removed since the other VM's version.
         is_complete: Whether ``document`` has all routes.
+        from_version: Version of the other VM, to which alone the changes can be
+            applied; 0 if ``is_complete``.
+        gaps: Gaps between the two versions in what the sender knows of changes.
     """
 
     document: ConfigurationDocument
     removed_route_ids: tuple[str, ...]
     is_complete: bool
+    from_version: int
+    gaps: tuple[RegistryGap, ...]
 
 
 class MissingServer(NamedTuple):
@@ -44,6 +49,9 @@
         removed_server_ids: Servers that were removed since the other VM's version.
         is_complete: Whether ``servers`` is the whole list.
         missing: All servers that the sender holds but that are no longer listed.
+        from_version: Version of the other VM, to which alone the changes can be
+            applied; 0 if ``is_complete``.
+        gaps: Gaps between the two versions in what the sender knows of changes.
     """
 
     version: int
@@ -51,6 +59,8 @@
     removed_server_ids: tuple[str, ...]
     is_complete: bool
     missing: tuple[MissingServer, ...]
+    from_version: int
+    gaps: tuple[RegistryGap, ...]
 
 
 class Snapshot(NamedTuple):
--- a/burdockhitch/systems/direct/configuration.py
+++ b/burdockhitch/systems/direct/configuration.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterable
 
 from burdockhitch.clock import Instant
-from burdockhitch.systems.direct.registry_changes import record_changes, record_gap
+from burdockhitch.systems.direct.registry_changes import record_changes, record_gaps
 from burdockhitch.tables.prefix_routes import PrefixRouteRow
 from burdockhitch.tables.registry_views import (
     ConfigurationDocument,
+    RegistryGap,
     RegistryPart,
     RegistryViewRow,
 )
@@ -52,6 +53,7 @@
     source: str,
     now: Instant,
     changed_route_ids: tuple[str, ...] | None = None,
+    gaps: tuple[RegistryGap, ...] = (),
 ) -> bool:
     """Apply a configuration if it is newer than the one in force.
 
@@ -62,6 +64,8 @@
         now: Time of the tick.
         changed_route_ids: All routes that changed or were removed since the version in
             force, or since an older one; None if that is not known.
+        gaps: Gaps of the source after the version in force, if ``changed_route_ids``
+            are known.
 
     Returns:
         Whether it was applied.
@@ -81,7 +85,8 @@
     record_version(world, part, document.version)
     record_changes(world, part, held_version, subjects)
     if changed_route_ids is None:
-        record_gap(world, part, held_version)
+        gaps = (RegistryGap(held_version, document.version),)
+    record_gaps(world, part, gaps)
     log_event(
         world,
         "INFO",
--- a/burdockhitch/systems/direct/registry_changes.py
+++ b/burdockhitch/systems/direct/registry_changes.py
@@ -2,13 +2,15 @@
 
 An entry is recorded with the version that this VM held after the change, which may be
 above the version of the change itself. So a copy may hold too many entries, but it
-never lacks one.
+never lacks one: a VM that copies changes holds all of them for each version in between,
+unless the source skipped versions, and such gaps come with the copy.
 """
 
 from collections.abc import Iterable
 
 from burdockhitch.tables.registry_views import (
     RegistryChangeRow,
+    RegistryGap,
     RegistryGapRow,
     RegistryPart,
 )
@@ -45,19 +47,29 @@
         _forget_before(world, part, changes[-CHANGES_MAX - 1].version)
 
 
-def record_gap(world: World, part: RegistryPart, previous_version: int) -> None:
-    """Record that versions between a version and the one now held were not seen.
+def record_gaps(world: World, part: RegistryPart, gaps: Iterable[RegistryGap]) -> None:
+    """Record gaps after all those recorded before, sorted by version.
 
-    An entry may have changed and changed back between them.
+    An entry may have changed and changed back between the versions of a gap.
     """
-    view = world.registry_views.fetch(part)
-    if previous_version == 0 or view.version - previous_version < 2:
-        return
-    gap_id = (part, previous_version)
-    world.registry_gaps.put(RegistryGapRow(gap_id, part, view.version))
-    gaps = world.registry_gaps.select("part", part)
-    if len(gaps) > GAPS_MAX:
-        _forget_before(world, part, gaps[-GAPS_MAX - 1].before_version)
+    for after_version, before_version in gaps:
+        if after_version > 0 and before_version - after_version > 1:
+            gap_id = (part, after_version)
+            world.registry_gaps.put(RegistryGapRow(gap_id, part, before_version))
+    rows = world.registry_gaps.select("part", part)
+    if len(rows) > GAPS_MAX:
+        _forget_before(world, part, rows[-GAPS_MAX - 1].before_version)
+
+
+def find_gaps(
+    world: World, part: RegistryPart, version: int
+) -> tuple[RegistryGap, ...]:
+    """Return the gaps after a version."""
+    return tuple(
+        RegistryGap(gap.gap_id[1], gap.before_version)
+        for gap in world.registry_gaps.select("part", part)
+        if gap.before_version > version
+    )
 
 
 def _forget_before(world: World, part: RegistryPart, version: int) -> None:
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -3,11 +3,15 @@
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import MissingServer
 from burdockhitch.systems.direct.configuration import record_version, registry_view
-from burdockhitch.systems.direct.registry_changes import record_changes, record_gap
+from burdockhitch.systems.direct.registry_changes import record_changes, record_gaps
 from burdockhitch.systems.direct.server_estimates import P_FAILING_STATIONARY
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.backend_servers import BackendServerRow
-from burdockhitch.tables.registry_views import MissingServerRow, RegistryPart
+from burdockhitch.tables.registry_views import (
+    MissingServerRow,
+    RegistryGap,
+    RegistryPart,
+)
 from burdockhitch.tables.server_estimates import ServerEstimateRow
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.world import World, log_event, start_timer, stop_timer
@@ -124,12 +128,14 @@
     source: str,
     now: Instant,
     missing: tuple[MissingServer, ...] = (),
+    gaps: tuple[RegistryGap, ...] = (),
 ) -> bool:
     """Apply a new version of the server list if it is newer than the one held.
 
     Servers that are not in ``servers`` are removed if ``is_complete``, otherwise only
     those in ``removed``. The removal of those in ``missing`` is scheduled, because the
-    version of the list won't change when the source removes them.
+    version of the list won't change when the source removes them. ``gaps`` are those
+    of the source after the version held, unless ``is_complete``.
 
     Returns:
         Whether it was newer.
@@ -153,8 +159,9 @@
     record_version(world, part, version)
     subjects = [server.server_id for server in changed]
     record_changes(world, part, held_version, [*subjects, *removed])
-    if is_complete:
-        record_gap(world, part, held_version)
+    record_gaps(
+        world, part, (RegistryGap(held_version, version),) if is_complete else gaps
+    )
     log_event(
         world,
         "INFO",
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -14,7 +14,7 @@
     broadcast_heartbeat,
     has_newer_registry,
 )
-from burdockhitch.systems.direct.registry_changes import find_changes
+from burdockhitch.systems.direct.registry_changes import find_changes, find_gaps
 from burdockhitch.systems.direct.servers import apply_servers, find_missing_servers
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import timer_handlers
@@ -82,7 +82,7 @@
         return None
     changed = find_changes(world, RegistryPart.CONFIGURATION, version)
     if changed is None:
-        return ConfigurationCopy(document, (), True)
+        return ConfigurationCopy(document, (), True, 0, ())
     routes = tuple(
         world.prefix_routes.fetch(route_id)
         for route_id in changed
@@ -91,7 +91,9 @@
     removed = tuple(
         route_id for route_id in changed if route_id not in world.prefix_routes
     )
-    return ConfigurationCopy(document._replace(routes=routes), removed, False)
+    gaps = find_gaps(world, RegistryPart.CONFIGURATION, version)
+    document = document._replace(routes=routes)
+    return ConfigurationCopy(document, removed, False, version, gaps)
 
 
 def _copy_servers(world: World, version: int, now: Instant) -> ServersCopy | None:
@@ -102,7 +104,7 @@
     missing = find_missing_servers(world, now)
     if changed is None:
         return ServersCopy(
-            held_version, tuple(world.backend_servers), (), True, missing
+            held_version, tuple(world.backend_servers), (), True, missing, 0, ()
         )
     servers = tuple(
         world.backend_servers.fetch(server_id)
@@ -112,7 +114,8 @@
     removed = tuple(
         server_id for server_id in changed if server_id not in world.backend_servers
     )
-    return ServersCopy(held_version, servers, removed, False, missing)
+    gaps = find_gaps(world, RegistryPart.SERVERS, version)
+    return ServersCopy(held_version, servers, removed, False, missing, version, gaps)
 
 
 def _sent_at_s(world: World, now: Instant) -> float:
@@ -267,17 +270,79 @@
     )
 
 
+def _record_source_versions(world: World, snapshot: Snapshot, source: str) -> None:
+    """Record what the source holds, so that a dropped copy is planned again."""
+    vm = world.vms.get(source)
+    if vm is None:
+        return
+    if snapshot.configuration is not None:
+        version = max(vm.configuration_version, snapshot.configuration.document.version)
+        vm = vm._replace(configuration_version=version)
+    if snapshot.servers is not None:
+        version = max(vm.servers_version, snapshot.servers.version)
+        vm = vm._replace(servers_version=version)
+    world.vms.replace(vm)
+
+
+def _is_relative_to_held(
+    world: World,
+    part: RegistryPart,
+    version: int,
+    copy: ConfigurationCopy | ServersCopy,
+    source: str,
+) -> bool:
+    """Return whether a copy can be applied to the version held; log it if not.
+
+    Changes since an older version may lack an entry that changed and changed back.
+    """
+    held_version = registry_view(world, part).version
+    if copy.is_complete or copy.from_version == held_version:
+        return True
+    log_event(
+        world,
+        "INFO",
+        "stale_copy_dropped",
+        source=source,
+        subject=part,
+        version=version,
+        held=held_version,
+    )
+    return False
+
+
 def _apply_configuration(
     world: World, copy: ConfigurationCopy, source: str, now: Instant
 ) -> bool:
-    """Apply a copied configuration; return whether it was newer."""
+    """Apply a copied configuration; return whether it was applied."""
+    part = RegistryPart.CONFIGURATION
+    if not _is_relative_to_held(world, part, copy.document.version, copy, source):
+        return False
     if copy.is_complete:
         return apply_configuration(world, copy.document, source, now)
     held = next(iter(world.configurations))
     document = merge_routes(held, copy.document, copy.removed_route_ids)
     changed = tuple(route.route_id for route in copy.document.routes)
     return apply_configuration(
-        world, document, source, now, (*changed, *copy.removed_route_ids)
+        world, document, source, now, (*changed, *copy.removed_route_ids), copy.gaps
+    )
+
+
+def _apply_servers(world: World, copy: ServersCopy, source: str, now: Instant) -> bool:
+    """Apply a copied list of servers; return whether it was applied."""
+    if not _is_relative_to_held(
+        world, RegistryPart.SERVERS, copy.version, copy, source
+    ):
+        return False
+    return apply_servers(
+        world,
+        copy.servers,
+        copy.removed_server_ids,
+        copy.version,
+        copy.is_complete,
+        source,
+        now,
+        copy.missing,
+        copy.gaps,
     )
 
 
@@ -286,13 +351,11 @@
 ) -> None:
     """Apply a snapshot; announce this VM if it may be ready, or may serve others."""
     is_changed = False
+    _record_source_versions(world, snapshot, source)
     if snapshot.configuration is not None:
         is_changed = _apply_configuration(world, snapshot.configuration, source, now)
     if snapshot.servers is not None:
-        version, servers, removed, is_complete, missing = snapshot.servers
-        is_changed |= apply_servers(
-            world, servers, removed, version, is_complete, source, now, missing
-        )
+        is_changed |= _apply_servers(world, snapshot.servers, source, now)
     for row in snapshot.vms:
         add_listed_vm(world, row, now)
     was_ready = world.vms.fetch(world.local.vm_id).is_ready
--- a/burdockhitch/tables/registry_views.py
+++ b/burdockhitch/tables/registry_views.py
@@ -79,8 +79,22 @@
     version: int
 
 
+class RegistryGap(NamedTuple):
+    """Versions of a registry part between which not all changes are known.
+
+    Attributes:
+        after_version: Last version before the gap.
+        before_version: First version after the gap.
+    """
+
+    after_version: int
+    before_version: int
+
+
 class RegistryGapRow(NamedTuple):
-    """Versions of a registry part that this VM skipped when it read the whole part.
+    """Versions of a registry part that this VM, or the source of its copy, skipped.
+
+    They are skipped when the whole part is read.
 
     Attributes:
         gap_id: Registry part, and the last version before the gap.
