--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -81,10 +81,12 @@
     Attributes:
         server_id: Backend server.
         kind: Name of a registered kind of observation, such as ``failure``.
+        reporter_vm_id: VM that made the attempt; empty if it is the sender.
     """
 
     server_id: str
     kind: str
+    reporter_vm_id: str = ""
 
 
 @vm_messages("heartbeat")
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -18,6 +18,7 @@
     P_FAILING_SUSPECT,
     SUCCESS,
     apply_observation,
+    forget_overdue_reporter,
     record_peer_answered,
     record_peer_overdue,
 )
@@ -194,21 +195,23 @@
     same_zone = [vm.message_address for vm in peers if vm.zone == zone]
     succeeded_server_ids = pop_unreported_in_zone(world, now)
     _send_report(world, same_zone, Report(observations, loads, succeeded_server_ids))
-    _record_zone_observations(world, observations)
+    _record_zone_observations(world, world.local.vm_id, observations)
 
 
 def _record_zone_observations(
-    world: World, observations: tuple[Observation, ...]
+    world: World, reporter_vm_id: str, observations: tuple[Observation, ...]
 ) -> None:
     """Store observations of this zone's VMs for its next report to other zones.
 
     Successes are left out: VMs of other zones try the server again by themselves.
     """
-    for server_id, kind in observations:
-        if kind != SUCCESS:
+    for observation in observations:
+        if observation.kind != SUCCESS:
             sequence = next_sequence(world, "zone_observation")
             world.zone_observations.insert(
-                ZoneObservationRow(sequence, server_id, kind)
+                ZoneObservationRow(
+                    sequence, observation.server_id, observation.kind, reporter_vm_id
+                )
             )
 
 
@@ -248,13 +251,14 @@
 
 
 def apply_peer_observation(
-    world: World, reporter_id: str, observation: Observation, now: Instant
+    world: World, reporter_vm_id: str, observation: Observation, now: Instant
 ) -> None:
-    """Apply an observation of another VM, or of another zone by its key."""
+    """Apply an observation that another VM made."""
     if observation.kind == SUCCESS:
         record_peer_answered(world, observation.server_id, now)
+        forget_overdue_reporter(world, observation.server_id, reporter_vm_id)
     elif observation.kind == OVERDUE:
-        record_peer_overdue(world, observation.server_id, reporter_id, now)
+        record_peer_overdue(world, observation.server_id, reporter_vm_id, now)
     else:
         apply_observation(world, observation.server_id, observation.kind, now)
 
@@ -277,7 +281,7 @@
     )
     for observation in report.observations:
         apply_peer_observation(world, sender_vm_id, observation, now)
-    _record_zone_observations(world, report.observations)
+    _record_zone_observations(world, sender_vm_id, report.observations)
     record_peer_successes(
         world, report.succeeded_server_ids, now, is_from_other_zone=False
     )
--- a/burdockhitch/systems/direct/server_estimates.py
+++ b/burdockhitch/systems/direct/server_estimates.py
@@ -34,6 +34,9 @@
 # Time constant of the decay of the latency ratio: servers stay slow a little longer
 # than they fail.
 LATENCY_RATIO_RELAXATION_S = 4.0
+# Pause after which another overdue answer that the same VM reports counts: by then
+# most of the effect of the first has decayed.
+SAME_REPORTER_S = RELAXATION_S
 # An answer is overdue after this multiple of its expected time.
 OVERDUE_FACTOR = 4.0
 
@@ -178,18 +181,37 @@
         world.server_estimates.replace(row._replace(peer_answered_at_s=now.monotonic_s))
 
 
+def forget_overdue_reporter(world: World, server_id: str, vm_id: str) -> None:
+    """Let the next overdue answer that a VM reports count, since it got an answer.
+
+    An answer that another VM got would show nothing about the path to this one.
+    """
+    row = world.server_estimates.get(server_id)
+    if row is not None and row.overdue_reporter_vm_id == vm_id:
+        world.server_estimates.replace(row._replace(overdue_reporter_vm_id=""))
+
+
 def record_peer_overdue(
-    world: World, server_id: str, reporter_id: str, now: Instant
+    world: World, server_id: str, reporter_vm_id: str, now: Instant
 ) -> None:
     """Apply an overdue answer of a server that another VM reported.
 
-    If the same VM reported the last one too, it is ignored: only that VM may miss the
-    answers.
+    If it was the same VM that reported one shortly before, without an answer in
+    between, the report is ignored: only that VM may miss the answers.
     """
     row = world.server_estimates.get(server_id)
-    if row is None or row.overdue_reporter_id == reporter_id:
+    if row is None:
         return
-    world.server_estimates.replace(row._replace(overdue_reporter_id=reporter_id))
+    elapsed_s = now.monotonic_s - row.overdue_reported_at_s
+    is_same_reporter = row.overdue_reporter_vm_id == reporter_vm_id
+    if is_same_reporter and elapsed_s < SAME_REPORTER_S:
+        return
+    world.server_estimates.replace(
+        row._replace(
+            overdue_reporter_vm_id=reporter_vm_id,
+            overdue_reported_at_s=now.monotonic_s,
+        )
+    )
     apply_observation(world, server_id, OVERDUE, now)
 
 
--- a/burdockhitch/systems/direct/zone_reports.py
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -87,7 +87,9 @@
     """Remove and return the zone's observations since the last report."""
     rows = list(world.zone_observations)
     world.zone_observations.clear()
-    return tuple(Observation(row.server_id, row.kind) for row in rows)
+    return tuple(
+        Observation(row.server_id, row.kind, row.reporter_vm_id) for row in rows
+    )
 
 
 @timer_handlers(TimerKind.ZONE_REPORT)
@@ -133,7 +135,7 @@
 
 
 def _zone_key(zone: str) -> str:
-    """Return the key of a zone where loads and reporters are stored by VM."""
+    """Return the key of a zone where loads are stored by VM."""
     return f"zone {zone}"
 
 
@@ -164,7 +166,7 @@
 
 def _apply_report(world: World, report: ZoneReport, now: Instant) -> None:
     for observation in report.observations:
-        apply_peer_observation(world, _zone_key(report.zone), observation, now)
+        apply_peer_observation(world, observation.reporter_vm_id, observation, now)
     record_peer_successes(
         world, report.succeeded_server_ids, now, is_from_other_zone=True
     )
--- a/burdockhitch/tables/server_estimates.py
+++ b/burdockhitch/tables/server_estimates.py
@@ -27,8 +27,10 @@
         unanswered_at_s: Monotonic time at which the last of them became overdue.
         peer_answered_at_s: Monotonic time at which another VM last reported that the
             server had answered it.
-        overdue_reporter_id: VM or ``zone NAME`` that last reported that an answer of
-            the server was overdue; empty for none.
+        overdue_reporter_vm_id: Other VM whose report that an answer of the server was
+            overdue was applied last; empty if there was none, or if the server has
+            answered that VM since.
+        overdue_reported_at_s: Monotonic time at which that report was applied.
         latency_ratio: Moving average, at ``latency_ratio_updated_at_s``, of the
             server's run time relative to the mean of its service; from then on it
             decays towards 1.
@@ -47,7 +49,8 @@
     n_unanswered: int = 0
     unanswered_at_s: float = 0.0
     peer_answered_at_s: float = 0.0
-    overdue_reporter_id: str = ""
+    overdue_reporter_vm_id: str = ""
+    overdue_reported_at_s: float = 0.0
     latency_ratio: float = 1.0
     latency_ratio_updated_at_s: float = 0.0
     warm_up_until_s: float = 0.0
@@ -121,11 +124,13 @@
         sequence: Position in the order of the observations.
         server_id: Backend server.
         kind: Name of a registered kind of observation, such as ``failure``.
+        reporter_vm_id: VM that made the attempt.
     """
 
     sequence: int
     server_id: str
     kind: str
+    reporter_vm_id: str
 
 
 class RecentSuccessRow(NamedTuple):
--- a/burdockhitch/tests/test_direct_requests.py
+++ b/burdockhitch/tests/test_direct_requests.py
@@ -8,6 +8,7 @@
 from burdockhitch import events
 from burdockhitch.direct_messages import Observation, Report, ServerLoad
 from burdockhitch.systems.direct.reports import (
+    apply_peer_observation,
     replace_reported_loads,
     report_observation,
 )
@@ -457,3 +458,57 @@
     assert p_failing(world.server_estimates.fetch("1"), now) == p_failing(
         world.server_estimates.fetch("2"), now
     )
+
+
+@pytest.mark.parametrize("pause_s", [5.0, 60.0])
+@pytest.mark.parametrize("reporter_vm_id", ["vm-1", "vm of another zone"])
+def test_a_second_hang_of_a_server_counts_if_the_same_vm_reports_it(
+    reporter_vm_id, pause_s
+):
+    fleet = start_fleet(n_vms=2)
+    world = fleet.worlds["vm-0"]
+    observation = Observation("1", OVERDUE)
+    for _ in range(2):
+        now = fleet.clock.now()
+        apply_peer_observation(world, reporter_vm_id, observation, now)
+        estimate = world.server_estimates.fetch("1")
+        assert p_failing(estimate, now) > P_FAILING_SUSPECT
+        fleet.run(pause_s)
+
+
+@pytest.mark.parametrize(("answered_vm_id", "n_counted"), [("vm-1", 2), ("vm-2", 1)])
+def test_an_overdue_answer_counts_again_only_after_an_answer_to_the_same_vm(
+    answered_vm_id, n_counted
+):
+    fleet = start_fleet(n_vms=3, n_servers=2)
+    world = fleet.worlds["vm-0"]
+    now = fleet.clock.now()
+    for vm_id, kind in (
+        ("vm-1", OVERDUE),
+        (answered_vm_id, SUCCESS),
+        ("vm-1", OVERDUE),
+    ):
+        apply_peer_observation(world, vm_id, Observation("1", kind), now)
+    for kind in (OVERDUE, SUCCESS, OVERDUE)[: 1 + n_counted]:
+        apply_observation(world, "2", kind, now)
+    assert p_failing(world.server_estimates.fetch("1"), now) == p_failing(
+        world.server_estimates.fetch("2"), now
+    )
+
+
+def test_a_server_that_hangs_for_many_vms_of_one_zone_stays_suspect_in_another():
+    fleet = start_fleet(n_vms=8, zones=("a", "b"))
+    reporters = [world for world in fleet.worlds.values() if world.local.zone == "b"]
+    others = [world for world in fleet.worlds.values() if world.local.zone == "a"]
+    for number in range(50):
+        world = reporters[number % len(reporters)]
+        report_observation(world, "2", OVERDUE, fleet.clock.now())
+        fleet.tick(world.local.vm_id)
+        fleet.run(0.1)
+        # The next report to other zones is sent within 0.2 s.
+        if number >= 3:
+            now = fleet.clock.now()
+            estimates = [world.server_estimates.fetch("2") for world in others]
+            assert all(
+                p_failing(estimate, now) >= P_FAILING_SUSPECT for estimate in estimates
+            )
