Take only answers after a missed one as evidence that it was lost on its way

What callers saw: by tests only. When a server hung for all, a VM concluded from another's success, reported late, that only its own answers were lost. It then reported no overdue answers, and the others kept using the server.

Cause: the time of receipt was compared with that of the missed answer. Successes are reported up to 1 s after the answer, and again up to 1 s after their receipt when they go to other zones.

Now a reported success counts as old as it can be at its receipt: 1.4 s from the zone and 3.2 s from others, which includes 0.4 s for each message to wait and arrive (0.3 s in the queue of large messages, 0.1 s until the tick that reads it).

Before, an attempt found lost when overdue was reported at its deadline.

Ruled out: the age of each success in the messages. It would change three messages for a bound that the new reports within 0.4 s make unimportant inside a zone.

--- a/burdockhitch/systems/direct/recent_successes.py
+++ b/burdockhitch/systems/direct/recent_successes.py
@@ -6,13 +6,21 @@
 """
 
 from burdockhitch.clock import Instant
-from burdockhitch.systems.direct.server_estimates import record_peer_answered
+from burdockhitch.systems.direct.server_estimates import (
+    MESSAGE_DELAY_MAX_S,
+    record_peer_answered,
+)
 from burdockhitch.tables.server_estimates import RecentSuccessRow
 from burdockhitch.world import World
 
 # Age up to which a success is reported: one heartbeat period, and short compared
 # with the time for which a server fails.
 RECENT_SUCCESS_S = 1.0
+# Greatest age of a reported success at its receipt.
+IN_ZONE_AGE_MAX_S = RECENT_SUCCESS_S + MESSAGE_DELAY_MAX_S
+# Its age counts anew from its receipt by the VM that reports it to other zones, where
+# one VM forwards it to the others.
+OTHER_ZONE_AGE_MAX_S = IN_ZONE_AGE_MAX_S + RECENT_SUCCESS_S + 2.0 * MESSAGE_DELAY_MAX_S
 
 
 def record_own_success(world: World, server_id: str, now: Instant) -> None:
@@ -33,8 +41,9 @@
         now: Time of receipt.
         is_from_other_zone: Whether they come from another zone.
     """
+    age_max_s = OTHER_ZONE_AGE_MAX_S if is_from_other_zone else IN_ZONE_AGE_MAX_S
     for server_id in server_ids:
-        record_peer_answered(world, server_id, now)
+        record_peer_answered(world, server_id, age_max_s, now)
         if not is_from_other_zone:
             row = RecentSuccessRow(server_id, now.monotonic_s, is_reported_in_zone=True)
             world.recent_successes.put(row)
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -14,11 +14,13 @@
     record_peer_successes,
 )
 from burdockhitch.systems.direct.server_estimates import (
+    MESSAGE_DELAY_MAX_S,
     OVERDUE,
     P_FAILING_SUSPECT,
     SUCCESS,
     apply_observation,
     forget_overdue_reporter,
+    pop_due_success,
     record_peer_answered,
     record_peer_overdue,
 )
@@ -53,14 +55,16 @@
 def report_observation(world: World, server_id: str, kind: str, now: Instant) -> None:
     """Update the estimate of a server, and queue the observation for other VMs.
 
-    A success is queued only if the server was suspect, and only for this zone: VMs
-    of other zones try the server again by themselves.
+    A success is queued only if the server was suspect or another VM misses an answer,
+    and only for this zone: VMs of other zones try the server again by themselves.
     """
     p_failing_before = apply_observation(world, server_id, kind, now)
+    is_due = kind != SUCCESS
     if kind == SUCCESS:
         record_own_success(world, server_id, now)
+        is_due = pop_due_success(world, server_id, now)
     if p_failing_before is None or (
-        kind == SUCCESS and p_failing_before < P_FAILING_SUSPECT
+        p_failing_before < P_FAILING_SUSPECT and not is_due
     ):
         return
     sequence = next_sequence(world, "observation")
@@ -255,7 +259,7 @@
 ) -> None:
     """Apply an observation that another VM made."""
     if observation.kind == SUCCESS:
-        record_peer_answered(world, observation.server_id, now)
+        record_peer_answered(world, observation.server_id, MESSAGE_DELAY_MAX_S, now)
         forget_overdue_reporter(world, observation.server_id, reporter_vm_id)
     elif observation.kind == OVERDUE:
         record_peer_overdue(world, observation.server_id, reporter_vm_id, now)
--- a/burdockhitch/systems/direct/server_estimates.py
+++ b/burdockhitch/systems/direct/server_estimates.py
@@ -37,6 +37,9 @@
 # Pause after which another overdue answer that the same VM reports counts: by then
 # most of the effect of the first has decayed.
 SAME_REPORTER_S = RELAXATION_S
+# Longest time for which a message waits to be sent, is on its way, and waits to be
+# read.
+MESSAGE_DELAY_MAX_S = 0.4
 # An answer is overdue after this multiple of its expected time.
 OVERDUE_FACTOR = 4.0
 
@@ -149,17 +152,20 @@
 
     Returns:
         Whether the answers are lost on the way to this VM: since this VM last recorded
-        one as overdue, without an answer in between, another VM got an answer.
+        one as overdue, without an answer in between, another VM certainly got one. The
+        conclusion stands for ``AVOID_MAX_S``, unless this VM gets an answer.
     """
     row = world.server_estimates.get(server_id)
     if row is None:
         return False
-    is_lost_here = row.n_unanswered > 0 and row.peer_answered_at_s > row.unanswered_at_s
+    if row.n_unanswered > 0 and row.peer_answered_at_s > row.unanswered_at_s:
+        row = row._replace(lost_here_until_s=now.monotonic_s + AVOID_MAX_S)
     if is_first:
         row = row._replace(
             n_unanswered=row.n_unanswered + 1, unanswered_at_s=now.monotonic_s
         )
-        world.server_estimates.replace(row)
+    world.server_estimates.replace(row)
+    is_lost_here = now.monotonic_s < row.lost_here_until_s
     if is_lost_here:
         # Each new try costs the outcome of a request.
         avoid_server(world, server_id, AVOID_MAX_S, now)
@@ -170,15 +176,36 @@
     """Record that an answer of a server reached this VM, whatever its status."""
     row = world.server_estimates.get(server_id)
     if row is not None and row.n_unanswered:
-        world.server_estimates.replace(row._replace(n_unanswered=0))
+        world.server_estimates.replace(
+            row._replace(n_unanswered=0, lost_here_until_s=0.0)
+        )
+
 
+def record_peer_answered(
+    world: World, server_id: str, age_max_s: float, now: Instant
+) -> None:
+    """Apply a success of a server that another VM reported.
 
-def record_peer_answered(world: World, server_id: str, now: Instant) -> None:
-    """Apply a success of a server that another VM reported."""
+    Args:
+        world: Tables of this VM.
+        server_id: Backend server.
+        age_max_s: Longest time since the answer arrived at the other VM.
+        now: Time of receipt.
+    """
     apply_observation(world, server_id, SUCCESS, now)
     row = world.server_estimates.get(server_id)
     if row is not None:
-        world.server_estimates.replace(row._replace(peer_answered_at_s=now.monotonic_s))
+        answered_at_s = max(row.peer_answered_at_s, now.monotonic_s - age_max_s)
+        world.server_estimates.replace(row._replace(peer_answered_at_s=answered_at_s))
+
+
+def pop_due_success(world: World, server_id: str, now: Instant) -> bool:
+    """Return whether to report a success of this VM for one that misses an answer."""
+    row = world.server_estimates.get(server_id)
+    if row is None or now.monotonic_s < row.success_due_s:
+        return False
+    world.server_estimates.replace(row._replace(success_due_s=math.inf))
+    return True
 
 
 def forget_overdue_reporter(world: World, server_id: str, vm_id: str) -> None:
@@ -202,6 +229,11 @@
     row = world.server_estimates.get(server_id)
     if row is None:
         return
+    # The delay lets the receiver know that the success is younger than the report.
+    # Further reports don't prolong it.
+    due_s = min(row.success_due_s, now.monotonic_s + MESSAGE_DELAY_MAX_S)
+    row = row._replace(success_due_s=due_s)
+    world.server_estimates.replace(row)
     elapsed_s = now.monotonic_s - row.overdue_reported_at_s
     is_same_reporter = row.overdue_reporter_vm_id == reporter_vm_id
     if is_same_reporter and elapsed_s < SAME_REPORTER_S:
--- a/burdockhitch/tables/server_estimates.py
+++ b/burdockhitch/tables/server_estimates.py
@@ -4,6 +4,7 @@
 number of requests in flight at one backend server.
 """
 
+import math
 from typing import NamedTuple
 
 from burdockhitch.tables.table import Table
@@ -25,12 +26,16 @@
         n_unanswered: Consecutive attempts of this VM that became overdue although the
             server was not busy.
         unanswered_at_s: Monotonic time at which the last of them became overdue.
-        peer_answered_at_s: Monotonic time at which another VM last reported that the
-            server had answered it.
+        lost_here_until_s: Monotonic time until which answers of the server count as
+            lost on the way to this VM only.
+        peer_answered_at_s: Latest monotonic time since which the server has certainly
+            answered another VM, by the greatest age of the reported successes.
         overdue_reporter_vm_id: Other VM whose report that an answer of the server was
             overdue was applied last; empty if there was none, or if the server has
             answered that VM since.
         overdue_reported_at_s: Monotonic time at which that report was applied.
+        success_due_s: Monotonic time from which this VM reports its next success of
+            the server at once, since another VM misses an answer; infinite if none.
         latency_ratio: Moving average, at ``latency_ratio_updated_at_s``, of the
             server's run time relative to the mean of its service; from then on it
             decays towards 1.
@@ -48,9 +53,11 @@
     n_connect_failures: int = 0
     n_unanswered: int = 0
     unanswered_at_s: float = 0.0
+    lost_here_until_s: float = 0.0
     peer_answered_at_s: float = 0.0
     overdue_reporter_vm_id: str = ""
     overdue_reported_at_s: float = 0.0
+    success_due_s: float = math.inf
     latency_ratio: float = 1.0
     latency_ratio_updated_at_s: float = 0.0
     warm_up_until_s: float = 0.0
--- a/burdockhitch/tests/test_direct_requests.py
+++ b/burdockhitch/tests/test_direct_requests.py
@@ -7,6 +7,10 @@
 
 from burdockhitch import events
 from burdockhitch.direct_messages import Observation, Report, ServerLoad
+from burdockhitch.systems.direct.recent_successes import (
+    record_own_success,
+    record_peer_successes,
+)
 from burdockhitch.systems.direct.reports import (
     apply_peer_observation,
     replace_reported_loads,
@@ -21,6 +25,7 @@
     SUCCESS,
     apply_observation,
     p_failing,
+    record_unanswered,
 )
 from burdockhitch.tables.prefix_routes import RouteTarget
 from burdockhitch.tests.direct_fakes import (
@@ -512,3 +517,84 @@
             assert all(
                 p_failing(estimate, now) >= P_FAILING_SUSPECT for estimate in estimates
             )
+
+
+@pytest.mark.parametrize("zones", [("a",), ("a", "b")])
+@pytest.mark.parametrize("seed", range(6))
+def test_a_success_from_before_a_hang_does_not_show_a_lost_answer(zones, seed):
+    fleet = start_fleet(n_vms=4, zones=zones, seed=seed)
+    now = fleet.clock.now()
+    record_own_success(fleet.worlds["vm-3"], "1", now)
+    # The server hangs for every VM from here on.
+    fleet.run(0.2)
+    world = fleet.worlds["vm-0"]
+    record_unanswered(world, "1", True, fleet.clock.now())
+    is_lost_here = False
+    for _ in range(20):
+        fleet.run(0.1)
+        is_lost_here |= record_unanswered(world, "1", False, fleet.clock.now())
+    assert not is_lost_here
+
+
+@pytest.mark.parametrize(
+    ("is_from_other_zone", "delay_s", "is_lost_here"),
+    [
+        (False, 0.1, False),
+        (False, 1.3, False),
+        (False, 1.5, True),
+        (True, 1.5, False),
+        (True, 3.1, False),
+        (True, 3.3, True),
+    ],
+)
+def test_only_a_success_certainly_after_a_missed_answer_shows_that_it_was_lost(
+    is_from_other_zone, delay_s, is_lost_here
+):
+    fleet = start_fleet(n_vms=1)
+    world = fleet.worlds["vm-0"]
+    record_unanswered(world, "1", True, fleet.clock.now())
+    fleet.run(delay_s)
+    now = fleet.clock.now()
+    record_peer_successes(world, ("1",), now, is_from_other_zone)
+    assert record_unanswered(world, "1", False, now) == is_lost_here
+
+
+@pytest.mark.parametrize(
+    ("n_reports", "delay_s", "is_lost_here"),
+    [(1, 0.2, False), (1, 0.5, True), (5, 0.1, True)],
+)
+def test_a_vm_that_misses_an_answer_learns_at_once_that_another_gets_one(
+    n_reports, delay_s, is_lost_here
+):
+    fleet = start_fleet(n_vms=2)
+    missing, other = fleet.worlds["vm-0"], fleet.worlds["vm-1"]
+    for _ in range(3):
+        apply_observation(other, "1", SUCCESS, fleet.clock.now())
+    record_unanswered(missing, "1", True, fleet.clock.now())
+    for _ in range(n_reports):
+        report_observation(missing, "1", OVERDUE, fleet.clock.now())
+        fleet.tick("vm-0")
+        fleet.run(delay_s)
+    now = fleet.clock.now()
+    assert p_failing(other.server_estimates.fetch("1"), now) < P_FAILING_SUSPECT
+    report_observation(other, "1", SUCCESS, now)
+    fleet.tick("vm-1")
+    fleet.run(0.1)
+    assert record_unanswered(missing, "1", False, fleet.clock.now()) == is_lost_here
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "is_lost_here"), [(1.6, True), (AVOID_MAX_S + 0.1, False)]
+)
+def test_a_lost_answer_is_no_evidence_at_its_deadline_but_a_later_one_is(
+    pause_s, is_lost_here
+):
+    fleet = start_fleet(n_vms=1)
+    world = fleet.worlds["vm-0"]
+    record_unanswered(world, "1", True, fleet.clock.now())
+    fleet.run(2.0)
+    record_peer_successes(world, ("1",), fleet.clock.now(), is_from_other_zone=False)
+    assert record_unanswered(world, "1", True, fleet.clock.now())
+    fleet.run(pause_s)
+    now = fleet.clock.now()
+    assert record_unanswered(world, "1", False, now) == is_lost_here
