--- a/burdockhitch/adapters/datagrams.py
+++ b/burdockhitch/adapters/datagrams.py
@@ -17,10 +17,10 @@
 from burdockhitch import commands, events
 from burdockhitch.adapters.codec import decode_message, encode_message
 from burdockhitch.errors import MessageError, MessageFormatError, error_name
+from burdockhitch.settings import BYTES_PER_MBIT
 from burdockhitch.world import World, count
 
 DATAGRAM_MAX_BYTES = 60_000
-BYTES_PER_MBIT = 125_000
 # Fraction of the link for messages; the rest is for requests.
 LINK_FRACTION = 0.5
 # Most that is sent at once.
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -14,10 +14,13 @@
     record_peer_successes,
 )
 from burdockhitch.systems.direct.server_estimates import (
+    MESSAGE_DELAY_MAX_S,
     OVERDUE,
     P_FAILING_SUSPECT,
     SUCCESS,
     apply_observation,
+    forget_overdue_reporter,
+    pop_due_success,
     record_peer_answered,
     record_peer_overdue,
 )
@@ -52,14 +55,16 @@
 def report_observation(world: World, server_id: str, kind: str, now: Instant) -> None:
     """Update the estimate of a server, and queue the observation for other VMs.
 
-    A success is queued only if the server was suspect, and only for this zone: VMs
-    of other zones try the server again by themselves.
+    A success is queued only if the server was suspect or another VM misses an answer,
+    and only for this zone: VMs of other zones try the server again by themselves.
     """
     p_failing_before = apply_observation(world, server_id, kind, now)
+    is_due = kind != SUCCESS
     if kind == SUCCESS:
         record_own_success(world, server_id, now)
+        is_due = pop_due_success(world, server_id, now)
     if p_failing_before is None or (
-        kind == SUCCESS and p_failing_before < P_FAILING_SUSPECT
+        p_failing_before < P_FAILING_SUSPECT and not is_due
     ):
         return
     sequence = next_sequence(world, "observation")
@@ -194,21 +199,23 @@
     same_zone = [vm.message_address for vm in peers if vm.zone == zone]
     succeeded_server_ids = pop_unreported_in_zone(world, now)
     _send_report(world, same_zone, Report(observations, loads, succeeded_server_ids))
-    _record_zone_observations(world, observations)
+    _record_zone_observations(world, world.local.vm_id, observations)
 
 
 def _record_zone_observations(
-    world: World, observations: tuple[Observation, ...]
+    world: World, reporter_vm_id: str, observations: tuple[Observation, ...]
 ) -> None:
     """Store observations of this zone's VMs for its next report to other zones.
 
     Successes are left out: VMs of other zones try the server again by themselves.
     """
-    for server_id, kind in observations:
-        if kind != SUCCESS:
+    for observation in observations:
+        if observation.kind != SUCCESS:
             sequence = next_sequence(world, "zone_observation")
             world.zone_observations.insert(
-                ZoneObservationRow(sequence, server_id, kind)
+                ZoneObservationRow(
+                    sequence, observation.server_id, observation.kind, reporter_vm_id
+                )
             )
 
 
@@ -248,13 +255,14 @@
 
 
 def apply_peer_observation(
-    world: World, reporter_id: str, observation: Observation, now: Instant
+    world: World, reporter_vm_id: str, observation: Observation, now: Instant
 ) -> None:
-    """Apply an observation of another VM, or of another zone by its key."""
+    """Apply an observation that another VM made."""
     if observation.kind == SUCCESS:
-        record_peer_answered(world, observation.server_id, now)
+        record_peer_answered(world, observation.server_id, MESSAGE_DELAY_MAX_S, now)
+        forget_overdue_reporter(world, observation.server_id, reporter_vm_id)
     elif observation.kind == OVERDUE:
-        record_peer_overdue(world, observation.server_id, reporter_id, now)
+        record_peer_overdue(world, observation.server_id, reporter_vm_id, now)
     else:
         apply_observation(world, observation.server_id, observation.kind, now)
 
@@ -277,7 +285,7 @@
     )
     for observation in report.observations:
         apply_peer_observation(world, sender_vm_id, observation, now)
-    _record_zone_observations(world, report.observations)
+    _record_zone_observations(world, sender_vm_id, report.observations)
     record_peer_successes(
         world, report.succeeded_server_ids, now, is_from_other_zone=False
     )
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -4,6 +4,7 @@
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import ConfigurationCopy, ServersCopy, Snapshot
 from burdockhitch.errors import SnapshotBusyError
+from burdockhitch.settings import BYTES_PER_MBIT
 from burdockhitch.systems.direct.configuration import (
     apply_configuration,
     merge_routes,
@@ -38,7 +39,6 @@
 COPY_RETRY_S = 0.2
 # Longest delay until this VM asks a VM of its zone again, after all were busy.
 BUSY_RETRY_S = 0.1
-BYTES_PER_MBIT = 125_000
 # Fraction of the link at which copies are expected to be sent.
 COPY_LINK_FRACTION = 0.8
 # Longest time that a copy may wait for others. More copies at once only delay each
