--- a/burdockhitch/systems/direct/recent_successes.py
+++ b/burdockhitch/systems/direct/recent_successes.py
@@ -33,7 +33,7 @@
 ) -> None:
     """Apply successes that another VM reported.
 
-    Those from this zone are stored too, so that its report to other zones includes them.
+    Those from this zone are stored too, for its report to other zones.
 
     Args:
         world: Tables of this VM.
