--- a/burdockhitch/tests/test_listening.py
+++ b/burdockhitch/tests/test_listening.py
@@ -16,6 +16,7 @@
 from burdockhitch.errors import ListenError
 from burdockhitch.platform import callers as platform_callers
 from burdockhitch.platform import daemon as platform_daemon
+from burdockhitch.tests.fakes import FakeFleet
 from tools.fleet import PORT_MAX, PORT_MIN, find_free_addresses
 
 
@@ -61,9 +62,17 @@
         return request.path
 
 
+def make_platform_site(resource):
+    """Return the site of the platform's callers with another resource."""
+    world = FakeFleet().add_vm("a1", "a")
+    site = platform_callers.PlatformSite(SimpleNamespace(world=world))
+    site.resource = resource
+    return site
+
+
 FRONT_ENDS: list[Any] = [
     (daemon.close_listeners, CallerSite),
-    (platform_daemon.close_listeners, platform_callers.PlatformSite),
+    (platform_daemon.close_listeners, make_platform_site),
 ]
 
 
