Remove servers at once on VMs that copy the list while the platform refuses them

What callers saw: requests reached a server 2.106 s after the store had acknowledged that it leaves (bound 2.0 s), from a VM that the store refused at the time.

Cause: a VM whose own reads fail delays the removal of vanished servers by 2.2 s, since entries may lapse in an outage. It did so too for removals that it copied from a VM whose reads succeed. The source knows which removals have to wait and sends those apart.

Ruled out: late copies, these took 3 to 8 ms; a lacking entry in a copy.

--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -13,7 +13,7 @@
 from burdockhitch.errors import PlatformHistoryGoneError
 from burdockhitch.systems.direct.configuration import apply_configuration, registry_view
 from burdockhitch.systems.direct.membership import add_listed_vm, broadcast_heartbeat
-from burdockhitch.systems.direct.servers import apply_servers
+from burdockhitch.systems.direct.servers import PLATFORM_SOURCE, apply_servers
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.registry_views import RegistryPart, RegistryViewRow
@@ -206,7 +206,10 @@
     """Apply the rows that were read; return whether to send a heartbeat."""
     if part is RegistryPart.CONFIGURATION:
         return any(
-            [apply_configuration(world, row, "platform", now) for row in event.rows]
+            [
+                apply_configuration(world, row, PLATFORM_SOURCE, now)
+                for row in event.rows
+            ]
         )
     if part is RegistryPart.SERVERS:
         if not event.is_complete and not event.rows and not event.removed:
@@ -217,7 +220,7 @@
             event.removed,
             event.version,
             event.is_complete,
-            "platform",
+            PLATFORM_SOURCE,
             now,
         )
     for row in event.rows:
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -20,6 +20,8 @@
 # seconds of its end, and the rest allows for a call that the platform left unanswered
 # and that ends a little later.
 RELISTING_S = 2.2
+# Source of a list that this VM read itself; others are IDs of VMs.
+PLATFORM_SOURCE = "platform"
 
 
 def _is_new_or_restarted(old: BackendServerRow | None, new: BackendServerRow) -> bool:
@@ -133,8 +135,9 @@
     """Apply a new version of the server list if it is newer than the one held.
 
     Servers that are not in ``servers`` are removed if ``is_complete``, otherwise only
-    those in ``removed``. The removal of those in ``missing`` is scheduled, because the
-    version of the list won't change when the source removes them. ``gaps`` are those
+    those in ``removed``. Another VM as the source tells which removals have to wait:
+    those of the servers in ``missing``. They are scheduled here, because the version
+    of the list won't change when the source removes them. ``gaps`` are those
     of the source after the version held, unless ``is_complete``.
 
     Returns:
@@ -152,7 +155,10 @@
     for server in servers:
         _store_server(world, server, now)
     for server_id in removed:
-        remove_server(world, server_id, now)
+        if source == PLATFORM_SOURCE:
+            remove_server(world, server_id, now)
+        else:
+            _delete_server(world, server_id, "removed on the VM copied from")
     for server_id, removal_in_s in missing:
         _schedule_removal(world, server_id, now.monotonic_s + removal_in_s)
     part = RegistryPart.SERVERS
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -696,6 +696,22 @@
     assert fleet.stopped_vm_ids == {"vm-0"}
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("refused_for_s", [0.5, 2.0, 5.0])
+def test_vms_that_the_platform_refuses_remove_a_server_that_others_saw_leave(
+    refused_for_s, seed
+):
+    fleet = start_fleet(n_vms=9, n_servers=6, zones=ZONES, seed=seed)
+    refuse_vms_of_zone_a(fleet)
+    fleet.run(refused_for_s)
+    fleet.remove_server("1")
+    fleet.run(1.0)
+    worlds_that_list_it = [
+        vm_id for vm_id, world in fleet.worlds.items() if "1" in world.backend_servers
+    ]
+    assert worlds_that_list_it == []
+
+
 @pytest.mark.parametrize("stable_s", [3.0, 3.5, 5.0])
 def test_a_server_unlisted_after_an_outage_ended_is_removed_at_once(stable_s):
     fleet = start_fleet(n_vms=4, zones=("a", "b"))
