Share the retry budget within a zone instead of between single VMs

Cause: the slack was cut in equal parts, 1.1 tokens a VM, granted once; afterwards tokens came only with a VM's own requests, one in half a minute. Exploration of suspect servers spent from the same tokens. Change: VMs of a zone report requests and retries since their start; each may retry while the sum over the sliding window is within the shares of the VMs whose whole window it knows. Cumulative counts make lost, repeated and reordered messages harmless. A retry is reported at once. Exploration stops at half of the budget.

--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -99,6 +99,20 @@
     reporter_vm_id: str = ""
 
 
+class ServiceUsage(NamedTuple):
+    """Requests and retries of a service that a VM counted since it started.
+
+    Attributes:
+        service: Name of the service.
+        n_requests: Requests from its callers.
+        n_retries: Retries that it sent.
+    """
+
+    service: str
+    n_requests: int
+    n_retries: int
+
+
 @vm_messages("heartbeat")
 class Heartbeat(NamedTuple):
     """Periodic announcement that a VM is alive, with its state.
@@ -110,12 +124,15 @@
         is_reply_requested: Whether the receiver should reply with its own heartbeat.
         succeeded_server_ids: Backend servers with a recent success that the sender
             has not reported to its zone before.
+        usages: Requests and retries of the sender; left out in heartbeats to other
+            zones.
     """
 
     row: VmRow
     loads: tuple[ServerLoad, ...] | None
     is_reply_requested: bool = False
     succeeded_server_ids: tuple[str, ...] = ()
+    usages: tuple[ServiceUsage, ...] = ()
 
 
 @vm_messages("report")
@@ -127,11 +144,13 @@
         loads: The sender's requests in flight; None if left out.
         succeeded_server_ids: Backend servers with a recent success that the sender
             has not reported to its zone before.
+        usages: Requests and retries of the sender.
     """
 
     observations: tuple[Observation, ...]
     loads: tuple[ServerLoad, ...] | None
     succeeded_server_ids: tuple[str, ...] = ()
+    usages: tuple[ServiceUsage, ...] = ()
 
 
 @vm_messages("zone_report")
--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -9,6 +9,11 @@
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import Heartbeat
+from burdockhitch.systems.direct.budget import (
+    forget_peer_usages,
+    pop_own_usages,
+    record_peer_usages,
+)
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.recent_successes import (
     pop_unreported_in_zone,
@@ -134,7 +139,7 @@
 ) -> None:
     """Send a heartbeat to this zone and, if ``include_other_zones``, to all others.
 
-    Loads and recent successes go to this zone only.
+    Loads, recent successes, requests and retries go to this zone only.
     """
     own = refresh_own_row(world, now)
     peers = live_peers(world)
@@ -143,7 +148,13 @@
     _send_heartbeat(
         world,
         same_zone,
-        Heartbeat(own, last_reported_loads(world), False, succeeded_server_ids),
+        Heartbeat(
+            own,
+            last_reported_loads(world),
+            False,
+            succeeded_server_ids,
+            pop_own_usages(world),
+        ),
     )
     if include_other_zones:
         other_zones = [vm.message_address for vm in peers if vm.zone != own.zone]
@@ -174,6 +185,7 @@
         if silent_s > DEAD_REMOVAL_S and vm.zone in live_zones:
             world.vms.remove(vm.vm_id)
             replace_reported_loads(world, vm.vm_id, ())
+            forget_peer_usages(world, vm.vm_id)
         elif vm.status is not VmStatus.DEAD:
             _mark_dead(world, vm)
 
@@ -280,6 +292,7 @@
     record_peer_successes(
         world, message.succeeded_server_ids, now, is_from_other_zone=False
     )
+    record_peer_usages(world, sender_vm_id, message.usages, now)
     if message.is_reply_requested or is_new:
         own = refresh_own_row(world, now)
         addresses = (message.row.message_address,)
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -8,6 +8,11 @@
 from burdockhitch import commands
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import Observation, Report, ServerLoad
+from burdockhitch.systems.direct.budget import (
+    has_unreported_retries,
+    pop_own_usages,
+    record_peer_usages,
+)
 from burdockhitch.systems.direct.recent_successes import (
     pop_unreported_in_zone,
     record_own_success,
@@ -181,13 +186,14 @@
 
 @system(Phase.ACCOUNTING, DIRECT)
 def send_reports(world: World, now: Instant) -> None:
-    """Report observations and loads within the zone.
+    """Report observations, retries and loads within the zone.
 
-    While no service is busy no loads are reported, apart from an empty list that
-    withdraws the last ones.
+    Observations and retries are reported at once. While no service is busy no loads
+    are reported, apart from an empty list that withdraws the last ones.
     """
     loads = own_loads(world) if is_any_service_busy(world) else ()
-    if not len(world.unreported_observations) and not _is_load_due(world, loads, now):
+    is_due = len(world.unreported_observations) or has_unreported_retries(world)
+    if not is_due and not _is_load_due(world, loads, now):
         return
     rows = list(world.unreported_observations)[:OBSERVATIONS_MAX]
     for row in rows:
@@ -198,7 +204,8 @@
     zone = world.local.zone
     same_zone = [vm.message_address for vm in peers if vm.zone == zone]
     succeeded_server_ids = pop_unreported_in_zone(world, now)
-    _send_report(world, same_zone, Report(observations, loads, succeeded_server_ids))
+    report = Report(observations, loads, succeeded_server_ids, pop_own_usages(world))
+    _send_report(world, same_zone, report)
     _record_zone_observations(world, world.local.vm_id, observations)
 
 
@@ -289,5 +296,6 @@
     record_peer_successes(
         world, report.succeeded_server_ids, now, is_from_other_zone=False
     )
+    record_peer_usages(world, sender_vm_id, report.usages, now)
     if report.loads is not None:
         replace_reported_loads(world, sender_vm_id, report.loads)
--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -6,7 +6,7 @@
 
 from burdockhitch.clock import Instant
 from burdockhitch.registry import Registry
-from burdockhitch.systems.direct.budget import has_retry_budget
+from burdockhitch.systems.direct.budget import has_exploration_budget, has_retry_budget
 from burdockhitch.systems.direct.reports import utilisation
 from burdockhitch.systems.direct.server_estimates import (
     P_FAILING_SUSPECT,
@@ -221,7 +221,9 @@
     """
     if row.tried:
         return []
-    can_retry = _can_retry(world, row, now)
+    can_retry = _can_retry(world, row, now) and has_exploration_budget(
+        world, row.service, now
+    )
     p_max = 1.0 if can_retry else P_FAILING_SUSPECT
     p_explore = P_EXPLORE if can_retry else P_EXPLORE_ONCE
     same_zone = [c for c in candidates if c.server.zone == world.local.zone]
--- a/burdockhitch/tables/services.py
+++ b/burdockhitch/tables/services.py
@@ -27,25 +27,15 @@
 
 
 class RetryBudgetRow(NamedTuple):
-    """Retry budget of a service on this VM.
-
-    With direct sending, the requests of the current and the previous counting window
-    limit the tokens. With sending by owners, no requests are counted.
+    """Retry budget of a service on this VM, with sending by owners.
 
     Attributes:
         service: Name of the service.
-        n_tokens: Retries left; each request (direct sending) or each success
-            (sending by owners) adds a fraction of one.
-        window_started_at_s: Monotonic time at which the current counting window began.
-        n_requests: Requests from callers of this VM in the current counting window.
-        n_requests_previous_window: The same number for the previous counting window.
+        n_tokens: Retries left; each success adds a fraction of one.
     """
 
     service: str
     n_tokens: float
-    window_started_at_s: float = 0.0
-    n_requests: int = 0
-    n_requests_previous_window: int = 0
 
 
 class ServiceReportRow(NamedTuple):
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -16,6 +16,7 @@
     probes,
     registry_views,
     requests,
+    retry_usages,
     revisions,
     routes,
     services,
@@ -65,6 +66,8 @@
     vms: Table[vms.VmRow]
     services: Table[services.ServiceRow]
     retry_budgets: Table[services.RetryBudgetRow]
+    retry_usages: Table[retry_usages.RetryUsageRow]
+    peer_usages: Table[retry_usages.PeerUsageRow]
     arrival_rates: Table[loads.ArrivalRateRow]
     load_profiles: Table[loads.LoadProfileRow]
     window_states: Table[loads.WindowStateRow]
@@ -144,6 +147,8 @@
         vms=vms.make_vms(),
         services=services.make_services(),
         retry_budgets=services.make_retry_budgets(),
+        retry_usages=retry_usages.make_retry_usages(),
+        peer_usages=retry_usages.make_peer_usages(),
         arrival_rates=loads.make_arrival_rates(),
         load_profiles=loads.make_load_profiles(),
         window_states=loads.make_window_states(),
