Spread the returns of refused callers over the time in which a backlog ends

Callers saw: each refusal said to return after 0.25 s, whoever it was and however long the overload would last, so all callers that were refused together returned together, into the same overload. Change: registered return policies. `by_backlog` takes the expected wait that led to the refusal, gives the most urgent priority the first part of it and each less urgent one the next, at random within the part, bounded by a third of the time left. `fixed` is the baseline. The policies of direct sending are checked at startup. Test: test_direct_worst_load.py replays bursts of 1.4 and 3 times the capacity with callers that obey.

--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -22,6 +22,8 @@
 from burdockhitch.platform.settings import read_platform_settings
 from burdockhitch.settings import Settings
 from burdockhitch.systems import direct
+from burdockhitch.systems.direct.return_times import return_policies
+from burdockhitch.systems.direct.selection import selection_policies
 from burdockhitch.systems.direct.starting import start_vm
 from burdockhitch.world import World
 
@@ -125,6 +127,17 @@
     log.write_event("INFO", "settings_read", {"changed_sections": changed_sections})
 
 
+def check_policies(settings: Settings) -> None:
+    """Check that the policies of direct sending in the settings are registered.
+
+    Raises:
+        UnknownNameError: If a policy is not registered.
+    """
+    # Looking up a name that is not registered raises the error.
+    selection_policies[settings.policies.selection]
+    return_policies[settings.policies.returns]
+
+
 def run_platform_daemon(path: Path) -> None:
     """Run until the VM has left the fleet.
 
@@ -133,8 +146,10 @@
 
     Raises:
         SettingsError: If the settings are invalid.
+        UnknownNameError: If they name a policy that is not registered.
     """
     settings = read_platform_settings(path)
+    check_policies(settings)
     from twisted.internet import reactor
 
     world = initialise_world(settings)
--- a/burdockhitch/settings.py
+++ b/burdockhitch/settings.py
@@ -43,6 +43,7 @@
 DEFAULT_LOG_LEVEL = "INFO"
 DEFAULT_SENDING = "owned"
 DEFAULT_SELECTION = "expected_cost"
+DEFAULT_RETURNS = "by_backlog"
 DEFAULT_ADDRESS = ""
 DEFAULT_DRAIN_S = 2.0
 DEFAULT_GRACE_S = 6.0
@@ -190,6 +191,7 @@
         sending: ``owned`` if only the owner of a backend server sends to it,
             ``direct`` if every VM does.
         selection: How a backend server is chosen with direct sending.
+        returns: When refused callers are told to return with direct sending.
     """
 
     routing: str = DEFAULT_ROUTING
@@ -198,6 +200,7 @@
     windows: str = DEFAULT_WINDOWS
     sending: str = DEFAULT_SENDING
     selection: str = DEFAULT_SELECTION
+    returns: str = DEFAULT_RETURNS
 
 
 class DirectSettings(NamedTuple):
--- a/burdockhitch/systems/direct/answers.py
+++ b/burdockhitch/systems/direct/answers.py
@@ -12,6 +12,7 @@
 from burdockhitch.systems.direct.budget import has_retry_budget, spend_retry_budget
 from burdockhitch.systems.direct.membership import is_leaving
 from burdockhitch.systems.direct.reports import report_observation
+from burdockhitch.systems.direct.return_times import RETURN_MIN_S, retry_after_s
 from burdockhitch.systems.direct.run_times import record_run_time
 from burdockhitch.systems.direct.selection import (
     find_candidates,
@@ -41,8 +42,6 @@
 )
 
 SERVER_ERROR_STATUSES = frozenset({500, 502, 503, 504})
-# Sent to callers with refusals: the time after which to try again.
-RETRY_AFTER_S = 0.25
 # Times for which this VM avoids a server that rejected a request.
 SHED_AVOID_S = 0.15
 MISDIRECTED_AVOID_S = 5.0
@@ -213,7 +212,8 @@
         row = row._replace(may_have_run=row.may_have_run or not is_not_run)
         _requeue(world, row, failure.value, now)
     else:
-        fail_request(world, row, failure, RETRY_AFTER_S, now)
+        wait_s = mean_run_time_s(world, row.service)
+        fail_request(world, row, failure, retry_after_s(world, row, wait_s, now), now)
 
 
 def _is_unexplained(world: World, attempt: AttemptRow, now: Instant) -> bool:
@@ -279,7 +279,7 @@
         return
     if not row.attempt_id:
         detail = f"the deadline passed while the request was {row.state.value}"
-        refusal = make_refusal(DeadlineTooShortError, detail, RETRY_AFTER_S)
+        refusal = make_refusal(DeadlineTooShortError, detail, RETURN_MIN_S)
         refuse_request(world, row, refusal, now)
         return
     attempt = world.attempts.fetch(row.attempt_id)
@@ -288,7 +288,7 @@
     if attempt.is_connecting:
         server_estimates.record_unreachable(world, attempt.server_id, now)
         detail = "the deadline passed before the backend server was connected"
-        refusal = make_refusal(DeadlineTooShortError, detail, RETRY_AFTER_S)
+        refusal = make_refusal(DeadlineTooShortError, detail, RETURN_MIN_S)
         refuse_request(world, row, refusal, now)
         return
     _record_overdue(world, attempt, is_first, now)
--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -6,6 +6,7 @@
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.overload import should_shed
 from burdockhitch.systems.direct.reports import update_in_flight_mean
+from burdockhitch.systems.direct.return_times import retry_after_s
 from burdockhitch.systems.direct.selection import (
     Candidate,
     find_candidates,
@@ -33,8 +34,6 @@
     start_timer,
 )
 
-# Sent to callers with refusals: the time after which to try again.
-RETRY_AFTER_S = 0.25
 # Shortest time after which an answer is overdue.
 OVERDUE_MIN_S = 0.25
 # Longest fraction of the remaining time for connecting, so that time is left to send
@@ -103,7 +102,9 @@
     candidates = find_candidates(world, row, now)
     if not candidates:
         detail = f"no backend server of {row.service} can take the request"
-        refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
+        wait_s = mean_run_time_s(world, row.service)
+        after_s = retry_after_s(world, row, wait_s, now)
+        refusal = make_refusal(NoBackendServerError, detail, after_s)
         refuse_request(world, row, refusal, now)
         return
     in_time = [
@@ -127,7 +128,8 @@
     world: World, row: RequestRow, wait_s: float, now: Instant
 ) -> None:
     detail = f"{row.service} would answer after {wait_s:.3f} s of waiting"
-    refusal = make_refusal(OverloadedError, detail, RETRY_AFTER_S)
+    after_s = retry_after_s(world, row, wait_s, now)
+    refusal = make_refusal(OverloadedError, detail, after_s)
     refuse_request(world, row, refusal, now)
 
 
--- a/burdockhitch/tests/test_direct_worst_load.py
+++ b/burdockhitch/tests/test_direct_worst_load.py
@@ -70,11 +70,11 @@
         n_returns: Returns of refused callers.
     """
 
-    def __init__(self, behaviour="queued", is_returning=True, seed=1):
+    def __init__(self, returns, behaviour="queued", is_returning=True, seed=1):
         self.is_returning = is_returning
         self.fleet = start_fleet(n_vms=N_VMS, n_servers=N_SERVERS, seed=seed)
         for vm_id, world in list(self.fleet.worlds.items()):
-            policies = PolicySettings(sending="direct", )
+            policies = PolicySettings(sending="direct", returns=returns)
             settings = world.settings._replace(policies=policies)
             self.fleet.worlds[vm_id] = world._replace(settings=settings)
         self.fleet.slot_ends_s = {str(number + 1): [] for number in range(N_SERVERS)}
@@ -141,12 +141,30 @@
         return sum(self.served[p] for p in paths) / sum(self.sent[p] for p in paths)
 
 
+def replay_burst(returns, factor):
+    """Return a replay of 2 s of overload between calm times."""
+    replay = Replay(returns)
+    replay.run(1.0, 0.6 * CAPACITY_PER_S)
+    replay.run(2.0, factor * CAPACITY_PER_S)
+    replay.run(3.0, 0.6 * CAPACITY_PER_S)
+    replay.finish()
+    return replay
+
+
+@pytest.mark.parametrize("factor", [1.4, 3.0])
+def test_callers_told_to_return_by_backlog_return_less_often_and_are_served(factor):
+    fixed = replay_burst("fixed", factor)
+    by_backlog = replay_burst("by_backlog", factor)
+    assert by_backlog.n_returns <= fixed.n_returns
+    assert by_backlog.served_share() >= fixed.served_share()
+
+
 @pytest.mark.parametrize("n_kinds", [2, 3])
 def test_retries_go_to_urgent_requests_while_all_servers_shed(n_kinds):
     paths = list(KINDS)[:n_kinds]
     served, sent = Counter(), Counter()
     for seed in range(3):
-        replay = Replay("sheds_half", is_returning=False, seed=seed)
+        replay = Replay("by_backlog", "sheds_half", is_returning=False, seed=seed)
         replay.run(8.0, 0.4 * CAPACITY_PER_S, paths)
         replay.finish()
         served.update(replay.served)
--- a/burdockhitch/tests/test_settings.py
+++ b/burdockhitch/tests/test_settings.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from burdockhitch.errors import SettingsError
+from burdockhitch.errors import SettingsError, UnknownNameError
+from burdockhitch.platform.daemon import check_policies
 from burdockhitch.settings import parse_settings, read_settings
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
@@ -71,3 +72,10 @@
     with pytest.raises(SettingsError, match="no default") as caught:
         parse_settings(text, "x.ini")
     assert caught.value.key == key
+
+
+@pytest.mark.parametrize("key", ["selection", "returns"])
+def test_unknown_policies_of_direct_sending_are_reported(key):
+    settings = parse_settings(VALID_SETTINGS + f"[policies]\n{key} = x\n", "x.ini")
+    with pytest.raises(UnknownNameError, match="x"):
+        check_policies(settings)
