Take a refusal as proof only if it certainly belongs to the request

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that ran, or these ran twice. It could happen here, in two ways, both found by tests that failed before: - A copy without Request-Id on a kept connection was taken as the answer, so its "not executed" or 421 permitted another send and a false refusal. - The first part of a copy, cut within a header's value or the reason, and the real answer after it were parsed as one head: the status and "not executed" of the copy with the id of the present request. Change: an answer records whether it is identified, by the request's id or as the first on its connection; other refusals count as broken, so the outcome is unknown. A head in which another status line begins is rejected. Ruled out: a copy on an idle connection (the connection is given up), copies with another id (skipped), and an answer cut in its head: cut at every byte, closed or reset, with length, chunked, until close, HTTP/1.0, interim: always broken, also before the change.

--- a/burdockhitch/adapters/exchange.py
+++ b/burdockhitch/adapters/exchange.py
@@ -6,6 +6,7 @@
 belongs to.
 """
 
+import re
 import socket
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -32,6 +33,7 @@
 # longer reused.
 IDLE_TIMEOUT_FRACTION = 0.6
 IDLE_TIMEOUT_MAX_S = 5.0
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
 # Answers with these statuses, and those to HEAD, have no body whatever they announce.
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 DETAIL_MAX_CHARACTERS = 200
@@ -63,11 +65,15 @@
         status: HTTP status.
         headers: Names in lower case and values.
         body: Complete body.
+        is_identified: Whether it certainly belongs to the request: it has the
+            request's id, or it is the first answer on its connection, so that no
+            earlier one can have been repeated.
     """
 
     status: int
     headers: HeaderPairs
     body: bytes
+    is_identified: bool = True
 
 
 OnResult = Callable[[HttpAnswer | AttemptFailure], None]
@@ -101,6 +107,7 @@
         self._request: HttpRequest | None = None
         self._on_result: OnResult | None = None
         self._is_disconnected = False
+        self._n_answers = 0
         self._start_exchange()
 
     def _start_exchange(self) -> None:
@@ -264,11 +271,16 @@
                 self._complete_answer()
 
     def _check_head(self, head: Any) -> None:
-        """Check the sizes of a head and of the body that it announces.
+        """Check a head, its size and the size of the body that it announces.
 
         Raises:
-            AnswerLimitError: If one of them is too large.
+            AnswerLimitError: If one of them is too large, or the head is not of one
+                answer.
         """
+        values = [head.reason, *(value for _name, value in head.headers)]
+        if any(STATUS_LINE.search(value) for value in values):
+            # The first part of an answer, and then another one.
+            raise AnswerLimitError("a status line within the head")
         n_unparsed_bytes = len(self._codec.trailing_data[0])
         self._n_head_bytes = self._n_received_bytes - n_unparsed_bytes
         self._check_head_size(self._n_head_bytes)
@@ -295,7 +307,11 @@
         if answered_id and expected_id and answered_id != expected_id:
             self._skip_stale_answer()
             return
-        answer = HttpAnswer(self._answer_head.status_code, pairs, bytes(self._body))
+        is_identified = bool(answered_id and expected_id) or not self._n_answers
+        self._n_answers += 1
+        answer = HttpAnswer(
+            self._answer_head.status_code, pairs, bytes(self._body), is_identified
+        )
         on_result = self._on_result
         self._on_result = None
         self._release_connection(pairs)
@@ -309,6 +325,7 @@
         if is_peer_closed or self._codec.their_state is not h11.DONE or request is None:
             self._fail(AttemptFailure.BROKEN)
             return
+        self._n_answers += 1
         self._n_skipped += 1
         if self._n_skipped > SKIPPED_ANSWERS_MAX:
             raise AnswerLimitError("late answers without end")
--- a/burdockhitch/platform/backends.py
+++ b/burdockhitch/platform/backends.py
@@ -43,11 +43,16 @@
 
 
 def classify_answer(answer: HttpAnswer, method: str) -> Answer | AttemptFailure:
-    """Return the answer if a backend server produced it unencoded, else the failure."""
-    if answer.status == STATUS_MISDIRECTED:
-        return AttemptFailure.MISDIRECTED
-    if find_header(answer.headers, names.NOT_EXECUTED):
-        return AttemptFailure.SHED
+    """Return the answer if a backend server produced it unencoded, else the failure.
+
+    A refusal proves that the request hasn't run only if it certainly belongs to it: a
+    faulty server may repeat an earlier refusal on a kept connection.
+    """
+    is_misdirected = answer.status == STATUS_MISDIRECTED
+    if is_misdirected or find_header(answer.headers, names.NOT_EXECUTED):
+        if not answer.is_identified:
+            return AttemptFailure.BROKEN
+        return AttemptFailure.MISDIRECTED if is_misdirected else AttemptFailure.SHED
     is_backend_answer = (
         find_header(answer.headers, names.BACKEND_SIGNATURE)
         and find_header(answer.headers, names.REQUEST_ID)
