Give each request of the native front end a connection of its own

A late copy of an answer on a kept connection passed for the answer to the next request: answers of the native interface bear no identity, and Twisted's agent ignores bytes after an answer. Change: the agent's pool keeps no connections. It costs a connection for each request. Ruled out: asking backend servers to echo the id, which changes the interface.

--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -31,8 +31,6 @@
 from burdockhitch.messages import Answer
 from burdockhitch.problems import OUTCOME_NOT_RUN
 
-IDLE_CONNECTION_TIMEOUT_S = 5.0
-IDLE_CONNECTIONS_PER_HOST_MAX = 4
 HEALTH_PATH = "/health"
 # Together with the outcome header ``not-run``, it proves that the backend server
 # rejected the request without executing it.
@@ -136,11 +134,13 @@
 
 
 def make_agent(reactor: Any, connect_timeout_s: float) -> Agent:
-    """Return an agent that connects to IP addresses and never resends a request."""
-    pool = HTTPConnectionPool(reactor)
+    """Return an agent that connects to IP addresses and never resends a request.
+
+    Each request has a connection of its own: answers bear no identity here, so a late
+    copy of an earlier one on a kept connection would pass for the answer.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=False)
     pool.retryAutomatically = False
-    pool.cachedConnectionTimeout = IDLE_CONNECTION_TIMEOUT_S
-    pool.maxPersistentPerHost = IDLE_CONNECTIONS_PER_HOST_MAX
     endpoints = IpEndpointFactory(reactor, connect_timeout_s)
     return Agent.usingEndpointFactory(reactor, endpoints, pool=pool)
 
--- a/burdockhitch/tests/test_repeated_answers.py
+++ b/burdockhitch/tests/test_repeated_answers.py
@@ -5,9 +5,11 @@
 """
 
 import pytest
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
 from burdockhitch.adapters.exchange import HttpAnswer
+from burdockhitch.adapters.servers import make_agent
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import Answer
 from burdockhitch.platform.backends import classify_answer
@@ -116,3 +118,18 @@
         conversation.connection.dataReceived(data[:n_bytes])
         conversation.connection.connectionLost(Failure(end))
         assert conversation.outcomes[-1] == BROKEN
+
+
+def test_each_request_of_the_native_front_end_has_its_own_connection():
+    reactor = MemoryReactorClock()
+    agent = make_agent(reactor, 1.0)
+    statuses = []
+    for answer in (b"HTTP/1.1 503 No", b"HTTP/1.1 200 OK"):
+        deferred = agent.request(b"GET", b"http://10.0.0.1:80/")
+        deferred.addCallback(lambda response: statuses.append(response.code))
+        _host, _port, factory, _timeout_s, _bind = reactor.tcpClients[-1]
+        protocol = factory.buildProtocol(None)
+        protocol.makeConnection(StringTransport())
+        protocol.dataReceived(answer + b"\r\nContent-Length: 0\r\n\r\n")
+    assert statuses == [503, 200]
+    assert len(reactor.tcpClients) == 2
