--- a/burdockhitch/adapters/exchange.py
+++ b/burdockhitch/adapters/exchange.py
@@ -277,8 +277,8 @@
             AnswerLimitError: If one of them is too large, or the head is not of one
                 answer.
         """
-        values = [head.reason, *(value for _name, value in head.headers)]
-        if any(STATUS_LINE.search(value) for value in values):
+        texts = [head.reason, *(value for _name, value in head.headers)]
+        if any(STATUS_LINE.search(text) for text in texts):
             # The first part of an answer, and then another one.
             raise AnswerLimitError("a status line within the head")
         n_unparsed_bytes = len(self._codec.trailing_data[0])
