Let an unexpected error cost one event only, and never the ticks

Looked for here, three ways were found; the tests of test_loop.py failed before: - An error while sockets are read left the tick marked as requested, so the VM ran no tick until its next timer, which doesn't come without a tick: alive, but deaf. - An error in the handling of one event lost all other events of its kind in that tick. - An error in one system kept all systems after it from running in that tick. Change: reads of sockets are guarded and counted (reads_failed); pop_events removes events one by one, and the rest is handled in the next tick; run_tick runs all systems, logs each that failed (system_failed) and then raises TickFailedError. Left: a queued request whose dispatch raises each time blocks those queued behind it until its deadline.

--- a/burdockhitch/adapters/loop.py
+++ b/burdockhitch/adapters/loop.py
@@ -51,8 +51,7 @@
             self._reactor.callLater(0, self._tick)
 
     def _tick(self) -> None:
-        if self._read_pending is not None:
-            self._read_pending()
+        self._read_sockets()
         # Cleared after reading the sockets, so that events posted there don't schedule
         # another tick.
         self._is_requested = False
@@ -66,6 +65,15 @@
             self.request_tick()
         self._schedule_next_timer()
 
+    def _read_sockets(self) -> None:
+        if self._read_pending is None:
+            return
+        try:
+            self._read_pending()
+        except Exception:
+            logger.exception("sockets_not_read")
+            count(self._world, "reads_failed")
+
     def _execute_commands(self) -> None:
         outbox = self._world.outbox
         for row in outbox:
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -184,6 +184,18 @@
         return f"no log line names request {self.args[0]!r}"
 
 
+class TickFailedError(BurdockhitchError):
+    """Systems raised errors in a tick; the first one is the cause.
+
+    Args:
+        system_names: Names of the systems.
+    """
+
+    def __init__(self, system_names: tuple[str, ...]) -> None:
+        super().__init__(system_names)
+        self.system_names = system_names
+
+
 class TransitionError(BurdockhitchError):
     """A life cycle has no transition for an input in the current state.
 
--- a/burdockhitch/systems/direct/draining.py
+++ b/burdockhitch/systems/direct/draining.py
@@ -7,7 +7,7 @@
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmStatus
-from burdockhitch.world import World, log_event, pop_events, send, start_timer
+from burdockhitch.world import World, discard_events, log_event, send, start_timer
 
 IDLE_CHECK_PERIOD_S = 0.1
 # Fraction of the grace period during which the listeners stay open, for callers to
@@ -25,7 +25,7 @@
 @system(Phase.DRAINING, DIRECT)
 def start_draining(world: World, now: Instant) -> None:
     """Announce at the first stop request that this VM is leaving, and set timers."""
-    if not pop_events(world, events.StopRequested) or is_leaving(world):
+    if not discard_events(world, events.StopRequested) or is_leaving(world):
         return
     own = world.vms.fetch(world.local.vm_id)
     world.vms.replace(own._replace(status=VmStatus.LEAVING, is_ready=False))
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -25,6 +25,7 @@
 from burdockhitch.world import (
     World,
     count,
+    discard_events,
     log_event,
     pop_events,
     send,
@@ -170,7 +171,7 @@
 @system(Phase.OWNERSHIP, DIRECT)
 def copy_newer_registry(world: World, now: Instant) -> None:
     """Start a copy if another VM reported newer versions."""
-    if pop_events(world, events.NewerVersionReported):
+    if discard_events(world, events.NewerVersionReported):
         _plan_copy(world, now)
 
 
--- a/burdockhitch/systems/draining.py
+++ b/burdockhitch/systems/draining.py
@@ -16,6 +16,7 @@
 from burdockhitch.world import (
     World,
     current_revision,
+    discard_events,
     log_event,
     pop_events,
     post_event,
@@ -39,7 +40,7 @@
 @system(Phase.DRAINING)
 def start_draining(world: World, now: Instant) -> None:
     """Announce on the first stop request that this VM is leaving; ignore later ones."""
-    if not pop_events(world, events.StopRequested):
+    if not discard_events(world, events.StopRequested):
         return
     if is_leaving(world):
         return
--- a/burdockhitch/systems/ownership.py
+++ b/burdockhitch/systems/ownership.py
@@ -28,7 +28,13 @@
 from burdockhitch.tables.server_health import ServerHealthRow, ServerState
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tables.vms import VmRow, VmStatus
-from burdockhitch.world import World, pop_events, send_message, start_timer
+from burdockhitch.world import (
+    World,
+    discard_events,
+    pop_events,
+    send_message,
+    start_timer,
+)
 
 HASH_BYTES = 8
 # Exceeds every hash, so that VMs of the server's zone go before those of other zones.
@@ -210,7 +216,7 @@
 @system(Phase.OWNERSHIP)
 def update_ownerships(world: World, now: Instant) -> None:
     """Update the owners after a new revision or changes of the membership view."""
-    if pop_events(world, events.RevisionApplied):
+    if discard_events(world, events.RevisionApplied):
         _apply_revision(world, now)
     vm_ids = {event.vm_id for event in pop_events(world, events.MembershipChanged)}
     for vm_id in sorted(vm_ids):
--- a/burdockhitch/systems/phases.py
+++ b/burdockhitch/systems/phases.py
@@ -9,7 +9,8 @@
 from enum import IntEnum
 
 from burdockhitch.clock import Instant
-from burdockhitch.world import World
+from burdockhitch.errors import TickFailedError
+from burdockhitch.world import World, log_event
 
 System = Callable[[World, Instant], None]
 
@@ -66,7 +67,26 @@
 
 
 def run_tick(world: World) -> None:
-    """Run the systems of this VM's sending mode once, in the order of their phases."""
+    """Run the systems of this VM's sending mode once, in the order of their phases.
+
+    An error in one system doesn't keep the others from running.
+
+    Raises:
+        TickFailedError: After the tick, if systems raised errors.
+    """
     now = world.clock.now()
+    failures: dict[str, Exception] = {}
     for function in _ordered_systems(world.settings.policies.sending):
-        function(world, now)
+        try:
+            function(world, now)
+        except Exception as error:
+            failures[function.__name__] = error
+            log_event(
+                world,
+                "ERROR",
+                "system_failed",
+                system=function.__name__,
+                error=repr(error),
+            )
+    if failures:
+        raise TickFailedError(tuple(failures)) from next(iter(failures.values()))
--- a/burdockhitch/tests/test_loop.py
+++ b/burdockhitch/tests/test_loop.py
@@ -5,9 +5,12 @@
 
 from burdockhitch import commands, events
 from burdockhitch.adapters.loop import Ticker
-from burdockhitch.messages import Join
+from burdockhitch.errors import TickFailedError
+from burdockhitch.messages import Join, RequestMessage
 from burdockhitch.systems import phases, timing
+from burdockhitch.systems.direct import intake
 from burdockhitch.tables.timers import TimerKind
+from burdockhitch.tests.direct_fakes import HOST, start_fleet
 from burdockhitch.tests.fakes import FakeFleet
 from burdockhitch.world import log_event, post_event, start_timer
 
@@ -87,3 +90,62 @@
     phases.run_tick(world)
     key = ("messages_dropped", "reason", "MessageUnhandled")
     assert [row.value for row in world.counters if row.key == key] == [n_messages]
+
+
+@pytest.mark.parametrize("n_failures", [1, 3])
+def test_ticks_go_on_after_reads_of_sockets_that_fail(monkeypatch, n_failures):
+    n_reads, n_ticks = [], []
+
+    def read_pending():
+        n_reads.append(1)
+        if len(n_reads) <= n_failures:
+            raise ZeroDivisionError
+
+    _, reactor, ticker, _ = make_ticker(
+        monkeypatch,
+        lambda world: (n_ticks.append(1), world.inbox.clear()),
+        read_pending,
+    )
+    for _ in range(n_failures + 1):
+        ticker.post(events.StopRequested())
+        reactor.advance(1.0)
+    assert len(n_ticks) == n_failures + 1
+
+
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_an_event_whose_handling_fails_costs_no_other_event(monkeypatch, position):
+    fleet = start_fleet(n_vms=1)
+    world = fleet.worlds["vm-0"]
+    accept, accepted_ids = intake._accept, []
+
+    def fail_once(world, event, now):
+        accepted_ids.append(event.connection_id)
+        if len(accepted_ids) == position + 1:
+            raise ZeroDivisionError
+        accept(world, event, now)
+
+    monkeypatch.setattr(intake, "_accept", fail_once)
+    message = RequestMessage("GET", "/a/x", (), b"", "", HOST)
+    for number in range(3):
+        post_event(
+            world, events.HostRequestArrived(number + 1, f"id-{number}", message, 5.0)
+        )
+    with pytest.raises(TickFailedError, match="accept_requests"):
+        phases.run_tick(world)
+    phases.run_tick(world)
+    assert len(world.requests) == 2
+
+
+def test_an_error_in_one_system_keeps_no_other_from_running(monkeypatch):
+    fleet = start_fleet(n_vms=1)
+    world = fleet.worlds["vm-0"]
+    monkeypatch.setattr(
+        "burdockhitch.systems.direct.addresses.choose_offered_vms",
+        lambda _world, _zone: 1 / 0,
+    )
+    post_event(world, events.AddressesRequested(9, HOST, "", "a"))
+    message = RequestMessage("GET", "/a/x", (), b"", "", HOST)
+    post_event(world, events.HostRequestArrived(1, "id", message, 5.0))
+    with pytest.raises(TickFailedError, match="offer_addresses"):
+        phases.run_tick(world)
+    assert len(world.attempts) == 1
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -1,6 +1,7 @@
 """The state of one VM and the functions that most systems use to change it."""
 
 import random
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 from burdockhitch import commands
@@ -233,14 +234,21 @@
     return row.value if row else 0
 
 
-def pop_events(world: World, event_type: type[Any]) -> list[Any]:
-    """Remove all events of a type from the inbox and return them, oldest first."""
+def pop_events(world: World, event_type: type[Any]) -> Iterator[Any]:
+    """Remove the events of a type from the inbox one by one, oldest first.
+
+    If the handling of one raises an error, the others stay for the next tick.
+    """
     if not len(world.inbox):
-        return []
-    rows = world.inbox.select("kind", event_type.__name__)
-    for row in rows:
+        return
+    for row in world.inbox.select("kind", event_type.__name__):
         world.inbox.remove(row.sequence)
-    return [row.event for row in rows]
+        yield row.event
+
+
+def discard_events(world: World, event_type: type[Any]) -> bool:
+    """Remove all events of a type from the inbox; return whether there were any."""
+    return len(list(pop_events(world, event_type))) > 0
 
 
 def send(world: World, command: Any) -> None:
