Read registry changes in quick succession together

Cause: a reader asked again 0.08 s after each answer, so while servers come and go each change cost a call a zone, a heartbeat to all VMs of the zone and a copy by each. Change: after an answer with changes a reader pauses for 0.3 s. A change after a calm time isn't delayed. All VMs have each change within a second, half of the time that the deployments allow.

--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -49,8 +49,11 @@
 READER_RANK_DELAY_S = 0.15
 # Most VMs of a zone that may read: the first ones in rank.
 READERS_MAX = 3
-# Pause between an answer of the platform and the next watch.
+# Pause between an answer of the platform and the next watch, without and with changes.
+# Each change that a reader applies is copied by all VMs of its zone, so those of the
+# longer pause are copied together.
 WATCH_PAUSE_S = 0.08
+CHANGES_PAUSE_S = 0.3
 # The delay after a failed read starts at up to twice READ_BACKOFF_S and doubles at
 # each consecutive failure, up to READ_BACKOFF_MAX_S.
 READ_BACKOFF_S = 0.25
@@ -196,7 +199,7 @@
     if is_changed or view.part in WATCHED_PARTS:
         broadcast_heartbeat(world, now, include_other_zones=is_changed)
     if view.part in WATCHED_PARTS:
-        due_s = now.monotonic_s + WATCH_PAUSE_S
+        due_s = now.monotonic_s + (CHANGES_PAUSE_S if is_changed else WATCH_PAUSE_S)
         start_timer(world, TimerKind.REGISTRY_READ, view.part, due_s)
 
 
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -725,3 +725,21 @@
         world for world in fleet.worlds.values() if "1" in world.backend_servers
     ]
     assert worlds_that_list_it == []
+
+
+@pytest.mark.parametrize("n_vms", [6, 30])
+@pytest.mark.parametrize("period_s", [0.05, 0.1])
+def test_changes_in_quick_succession_are_read_and_copied_together(period_s, n_vms):
+    fleet = start_fleet(n_vms=n_vms, zones=("a", "b"))
+    n_calls, n_copies = fleet.registry.n_calls, len(fleet.snapshot_bytes)
+    lags_s = []
+    for number in range(round(6.0 / period_s)):
+        fleet.add_server(f"new-{number}")
+        fleet.run(period_s)
+        held = min(len(world.backend_servers) for world in fleet.worlds.values())
+        lags_s.append((len(fleet.registry.servers) - held) * period_s)
+    # A reader a zone; three reads of changes a second and two watches that end.
+    assert fleet.registry.n_calls - n_calls <= 2 * 6 * (3 + 2)
+    assert len(fleet.snapshot_bytes) - n_copies <= n_vms * 6 * 4
+    # Half of the time within which draining servers get no more requests.
+    assert max(lags_s) <= 1.0
