Refuse a request whose dispatch fails, instead of blocking those behind it

A queued request whose dispatch raises an error stayed queued and raised it in each tick, so all requests behind it waited until its deadline. It is refused now as not run, since nothing was sent; the error is raised after the others are dispatched, so it is logged and counted. The test failed before in all three positions. The budget's windows are also tested with VMs that pause for 2 s: no fault found.

--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -133,9 +133,35 @@
     refuse_request(world, row, refusal, now)
 
 
+def _refuse_failed(
+    world: World, request_id: str, error: Exception, now: Instant
+) -> None:
+    """Refuse a request that was not sent because of an unexpected error."""
+    row = world.requests.get(request_id)
+    if row is not None:
+        detail = f"it was not sent because of an error: {error!r}"
+        after_s = retry_after_s(world, row, mean_run_time_s(world, row.service), now)
+        refusal = make_refusal(NoBackendServerError, detail, after_s)
+        refuse_request(world, row, refusal, now)
+
+
 @system(Phase.DISPATCH, DIRECT)
 def dispatch_requests(world: World, now: Instant) -> None:
-    """Send or refuse all queued requests, by priority and then by age."""
+    """Send or refuse all queued requests, by priority and then by age.
+
+    A request whose dispatch raises an error is refused, so that it doesn't block those
+    behind it in each tick.
+
+    Raises:
+        Exception: The last of these errors, after all requests.
+    """
+    failure = None
     queued = world.requests.select("state", RequestState.QUEUED)
     for row in sorted(queued, key=queue_order):
-        _dispatch(world, row, now)
+        try:
+            _dispatch(world, row, now)
+        except Exception as error:
+            failure = error
+            _refuse_failed(world, row.request_id, error, now)
+    if failure is not None:
+        raise failure
--- a/burdockhitch/tests/test_direct_budget.py
+++ b/burdockhitch/tests/test_direct_budget.py
@@ -54,7 +54,7 @@
     assert [n_sends[f"id-{c}"] for c in failed] == [2] * len(failed)
 
 
-FAULTS = ("none", "kill", "cut", "loss", "restart", "join")
+FAULTS = ("none", "kill", "cut", "loss", "restart", "join", "pause")
 
 
 @pytest.mark.parametrize("fault", FAULTS)
@@ -80,6 +80,11 @@
             for link in ((one, other), (other, one))
         }
     times_s = []
+
+    def wake(vm_id, world):
+        """Let a paused VM go on; what arrived meanwhile is lost."""
+        fleet.worlds[vm_id] = world
+
     for number in range(600):
         vm_id = rng.choice(sorted(fleet.worlds))
         fleet.send(vm_id)
@@ -91,6 +96,9 @@
             settings = fleet.worlds[vm_id].settings
             fleet.kill_vm(vm_id)
             fleet.restart_vm(vm_id, settings)
+        if fault == "pause" and number % 60 == 30:
+            world = fleet.worlds.pop(vm_id)
+            fleet.later(2.0, lambda vm_id=vm_id, world=world: wake(vm_id, world))
         if fault == "join" and number % 60 == 30:
             fleet.add_vm(f"new-{number}", rng.choice("abc"), retry_slack=slack)
     fleet.run(3.0)
--- a/burdockhitch/tests/test_loop.py
+++ b/burdockhitch/tests/test_loop.py
@@ -8,7 +8,7 @@
 from burdockhitch.errors import TickFailedError
 from burdockhitch.messages import Join, RequestMessage
 from burdockhitch.systems import phases, timing
-from burdockhitch.systems.direct import intake
+from burdockhitch.systems.direct import dispatch, intake
 from burdockhitch.tables.timers import TimerKind
 from burdockhitch.tests.direct_fakes import HOST, start_fleet
 from burdockhitch.tests.fakes import FakeFleet
@@ -149,3 +149,31 @@
     with pytest.raises(TickFailedError, match="offer_addresses"):
         phases.run_tick(world)
     assert len(world.attempts) == 1
+
+
+@pytest.mark.parametrize("position", [0, 1, 2])
+def test_a_request_that_can_not_be_dispatched_is_refused_and_blocks_no_other(
+    monkeypatch, position
+):
+    fleet = start_fleet(n_vms=1)
+    world = fleet.worlds["vm-0"]
+    find_candidates = dispatch.find_candidates
+
+    def fail_for_one(world, row, now):
+        if row.caller_request_id == f"id-{position}":
+            raise ZeroDivisionError
+        return find_candidates(world, row, now)
+
+    monkeypatch.setattr(dispatch, "find_candidates", fail_for_one)
+    message = RequestMessage("GET", "/a/x", (), b"", "", HOST)
+    for number in range(3):
+        post_event(
+            world, events.HostRequestArrived(number + 1, f"id-{number}", message, 5.0)
+        )
+    with pytest.raises(TickFailedError, match="dispatch_requests"):
+        phases.run_tick(world)
+    assert len(world.attempts) == 2
+    refused_connections = [
+        row.command.connection_id for row in world.outbox if row.kind == "RefuseCaller"
+    ]
+    assert refused_connections == [position + 1]
