--- a/burdockhitch/tests/test_direct_worst_load.py
+++ b/burdockhitch/tests/test_direct_worst_load.py
@@ -25,7 +25,6 @@
 KINDS = {"/urgent/": 0, "/usual/": 1, "/later/": 2}
 
 
-@behaviours("queued")
 def serve_from_queue(fleet, attempt):
     """Serve in the order of arrival with ``N_SLOTS`` slots; reject a full queue."""
     now_s = fleet.clock.elapsed_s
@@ -38,7 +37,6 @@
     return ends_s[-1] - now_s, True, Answer(200, (), b"done")
 
 
-@behaviours("sheds_half")
 def reject_half(fleet, attempt):
     """Reject half of the requests at random, and serve the others."""
     if fleet.rng.random() < 0.55:
@@ -46,6 +44,13 @@
     return serve_from_queue(fleet, attempt)
 
 
+@pytest.fixture(autouse=True)
+def register_behaviours(monkeypatch):
+    """Register the behaviours for these tests only: random sequences draw from all."""
+    monkeypatch.setitem(behaviours._entries, "queued", serve_from_queue)
+    monkeypatch.setitem(behaviours._entries, "sheds_half", reject_half)
+
+
 class CallerAttempt(NamedTuple):
     """One attempt of a caller that returns when a refusal tells it to.
 
