Log and count what backend servers state as their limit

Neither logs nor metrics named a limit, so the hypotheses on LIMIT couldn't be told apart. The platform adapter decodes the header of each answer that certainly belongs to its request; a table holds the last value by server; a change of it leaves a line and raises a counter. No decision reads the table yet. Malformed values leave a warning and change nothing.

--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -87,6 +87,23 @@
     failure: AttemptFailure
 
 
+class ServerStated(NamedTuple):
+    """What a backend server stated about itself in an answer.
+
+    Attributes:
+        attempt_id: Attempt that was answered.
+        server_id: Backend server.
+        limit_per_s: Requests a second that it accepts from all VMs together; None if
+            the answer states no limit.
+        has_run: Whether the answer is the result of running the request.
+    """
+
+    attempt_id: int
+    server_id: str
+    limit_per_s: float | None
+    has_run: bool
+
+
 class ServerProbed(NamedTuple):
     """A health probe that this VM sent to a backend server ended."""
 
--- a/burdockhitch/platform/backends.py
+++ b/burdockhitch/platform/backends.py
@@ -1,10 +1,16 @@
 """Requests to backend servers, and classification of their answers."""
 
+import re
 from typing import Any
 
-from burdockhitch import commands, events
+from burdockhitch import commands, events, log
 from burdockhitch.adapters.exchange import HttpAnswer, HttpConnection, HttpRequest
-from burdockhitch.adapters.headers import drop_hop_by_hop, find_header
+from burdockhitch.adapters.headers import (
+    HeaderPairs,
+    drop_hop_by_hop,
+    find_header,
+)
+from burdockhitch.errors import DocumentError
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import Answer
 from burdockhitch.platform import names
@@ -12,6 +18,8 @@
 from burdockhitch.systems.direct.connecting import record_connected, record_connecting
 
 STATUS_MISDIRECTED = 421
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+DETAIL_MAX_CHARACTERS = 80
 # Headers of the caller's request that are not forwarded, because this program sets
 # or handles them itself.
 OVERWRITTEN_HEADERS = frozenset(
@@ -63,6 +71,41 @@
     return Answer(answer.status, drop_hop_by_hop(answer.headers), answer.body)
 
 
+def decode_limit(headers: HeaderPairs) -> float | None:
+    """Return the rate that an answer states as accepted, or None if it states none.
+
+    Raises:
+        DocumentError: If a value is not a decimal number.
+    """
+    texts = [value for name, value in headers if name == names.SERVER_LIMIT]
+    for text in texts:
+        if DECIMAL_NUMBER.fullmatch(text) is None:
+            raise DocumentError(names.SERVER_LIMIT, text[:DETAIL_MAX_CHARACTERS])
+    return min(map(float, texts), default=None)
+
+
+def _post_statement(
+    process: PlatformProcess, command: commands.SendAttempt, answer: HttpAnswer
+) -> None:
+    """Post what the server states about itself, if the answer is certainly its own."""
+    if not answer.is_identified or answer.status == STATUS_MISDIRECTED:
+        return
+    try:
+        limit_per_s = decode_limit(answer.headers)
+    except DocumentError as error:
+        fields = {
+            "server": command.server_id,
+            "request_id": command.request_id,
+            "error": str(error),
+        }
+        log.write_event("WARNING", "statement_rejected", fields)
+        return
+    has_run = isinstance(classify_answer(answer, command.request.method), Answer)
+    process.ticker.post(
+        events.ServerStated(command.attempt_id, command.server_id, limit_per_s, has_run)
+    )
+
+
 def _post_result(
     process: PlatformProcess,
     command: commands.SendAttempt,
@@ -72,6 +115,7 @@
         return
     del process.attempts[command.attempt_id]
     if isinstance(result, HttpAnswer):
+        _post_statement(process, command, result)
         outcome = classify_answer(result, command.request.method)
     else:
         outcome = result
--- a/burdockhitch/systems/direct/__init__.py
+++ b/burdockhitch/systems/direct/__init__.py
@@ -5,6 +5,7 @@
 from burdockhitch.systems.direct import (
     addresses,
     recent_successes,
+    server_limits,
     answers,
     server_estimates,
     budget,
@@ -32,6 +33,7 @@
 __all__ = [
     "addresses",
     "recent_successes",
+    "server_limits",
     "answers",
     "server_estimates",
     "budget",
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -59,6 +59,7 @@
             warm_up_until_s=warm_up_until_s,
         )
         world.server_estimates.put(estimate)
+        world.server_limits.discard(server.server_id)
     world.backend_servers.put(server)
     if server.server_id in world.missing_servers:
         world.missing_servers.remove(server.server_id)
@@ -82,6 +83,7 @@
     service = world.backend_servers.remove(server_id).service
     _update_slots(world, service)
     world.server_estimates.discard(server_id)
+    world.server_limits.discard(server_id)
     world.missing_servers.discard(server_id)
     stop_timer(world, TimerKind.MISSING_SERVER, server_id)
     log_event(world, "INFO", "server_removed", server=server_id, reason=reason)
--- a/burdockhitch/tests/test_platform_backends.py
+++ b/burdockhitch/tests/test_platform_backends.py
@@ -112,3 +112,53 @@
     )
     [(_host, _port, _factory, timeout_s, _bind)] = process.reactor.tcpClients
     assert timeout_s == min(connect_timeout_s, TIMEOUT_S)
+
+
+def answer_attempt(head):
+    """Return the events posted after an answer with these header lines."""
+    process, _command = start_attempt(start_fleet(n_vms=1))
+    connection = connect(process.reactor)
+    head = head.replace("\n", "\r\n")
+    connection.dataReceived(f"HTTP/1.1 {head}\r\ncontent-length: 0\r\n\r\n".encode())
+    return process.ticker.events
+
+
+SIGNED = "request-id: id\nbackend-signature: s"
+
+
+@pytest.mark.parametrize(
+    ("head", "statement"),
+    [
+        (f"200 OK\n{SIGNED}", (None, True)),
+        (f"200 OK\n{SIGNED}\nserver-limit: 2.5", (2.5, True)),
+        (f"200 OK\n{SIGNED}\nServer-Limit: 0", (0.0, True)),
+        (f"500 Failed\n{SIGNED}\nserver-limit: 7", (7.0, True)),
+        ("503 Full\nrequest-id: id\nnot-executed: 1\nserver-limit: 3", (3.0, False)),
+        (f"200 OK\n{SIGNED}\nserver-limit: 4\nserver-limit: 3", (3.0, True)),
+    ],
+)
+def test_an_answer_tells_the_limit_that_its_server_states(head, statement):
+    stated, _outcome = answer_attempt(head)
+    assert stated == events.ServerStated(ATTEMPT_ID, "1", *statement)
+
+
+@pytest.mark.parametrize(
+    "value", ["-1", "nan", "inf", "1e9", "1_000", "2,5", "", "9" * 400, "2 2", "٣"]
+)
+def test_a_malformed_limit_states_nothing(value):
+    head = f"200 OK\n{SIGNED}\nserver-limit: {value}"
+    [outcome] = answer_attempt(head)
+    assert isinstance(outcome, events.BackendAnswered)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        "421 Misdirected\nserver-limit: 3",
+        "200 OK\nrequest-id: other\nserver-limit: 3",
+    ],
+)
+def test_an_answer_of_another_server_or_request_states_nothing(head):
+    assert not any(
+        isinstance(event, events.ServerStated) for event in answer_attempt(head)
+    )
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -20,6 +20,7 @@
     retry_usages,
     revisions,
     routes,
+    server_limits,
     services,
     timers,
     vms,
@@ -92,6 +93,7 @@
     zone_observations: Table[estimate_tables.ZoneObservationRow]
     received_zone_reports: Table[estimate_tables.ReceivedZoneReportRow]
     recent_successes: Table[estimate_tables.RecentSuccessRow]
+    server_limits: Table[server_limits.ServerLimitRow]
     registry_views: Table[registry_views.RegistryViewRow]
     registry_changes: Table[registry_views.RegistryChangeRow]
     registry_gaps: Table[registry_views.RegistryGapRow]
@@ -174,6 +176,7 @@
         zone_observations=estimate_tables.make_zone_observations(),
         received_zone_reports=estimate_tables.make_received_zone_reports(),
         recent_successes=estimate_tables.make_recent_successes(),
+        server_limits=server_limits.make_server_limits(),
         registry_views=registry_views.make_registry_views(),
         registry_changes=registry_views.make_registry_changes(),
         registry_gaps=registry_views.make_registry_gaps(),
