--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -134,13 +134,22 @@
             fleet.sent_attempts.append(attempt)
         if is_executed:
             fleet.executed_attempts.append(attempt)
-        if delay_s is None:
-            return
-        if isinstance(outcome, Answer):
+        if delay_s is not None:
+            fleet.later(delay_s, lambda: end_attempt(outcome))
+
+    def end_attempt(outcome):
+        has_run = isinstance(outcome, Answer)
+        if has_run or outcome is AttemptFailure.SHED:
+            limit_per_s = fleet.stated_limits.get(command.server_id)
+            stated = events.ServerStated(
+                command.attempt_id, command.server_id, limit_per_s, has_run
+            )
+            fleet.post(vm_id, stated)
+        if has_run:
             event = events.BackendAnswered(command.attempt_id, outcome)
         else:
             event = events.BackendFailed(command.attempt_id, outcome)
-        fleet.later(delay_s, lambda: fleet.post(vm_id, event))
+        fleet.post(vm_id, event)
 
     connect_delay_s = fleet.connect_delay_s.get(command.server_id, 0.0)
     if (vm_id, command.server_id) in fleet.blocked_links:
