Keep the rate that a backend server accepts from all VMs together

Each has an equal part as a token bucket of one request. So a window of t seconds gets at most limit * t + senders, whatever the VMs know of each other's sends; a counter shared by messages would be too late by its delay. When statements end, that is shared, too.

--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -99,6 +99,20 @@
     reporter_vm_id: str = ""
 
 
+class LimitStatement(NamedTuple):
+    """Rate that a backend server stated as accepted from all VMs together.
+
+    Attributes:
+        server_id: Backend server.
+        limit_per_s: Requests a second; None if it states no limit any more.
+        age_s: Time since the latest answer that shows it.
+    """
+
+    server_id: str
+    limit_per_s: float | None
+    age_s: float
+
+
 class ServiceUsage(NamedTuple):
     """Requests and retries of a service that a VM counted since it started.
 
@@ -145,12 +159,14 @@
         succeeded_server_ids: Backend servers with a recent success that the sender
             has not reported to its zone before.
         usages: Requests and retries of the sender.
+        limits: Limits of backend servers that changed or have to be restated.
     """
 
     observations: tuple[Observation, ...]
     loads: tuple[ServerLoad, ...] | None
     succeeded_server_ids: tuple[str, ...] = ()
     usages: tuple[ServiceUsage, ...] = ()
+    limits: tuple[LimitStatement, ...] = ()
 
 
 @vm_messages("zone_report")
@@ -164,6 +180,7 @@
         succeeded_server_ids: Backend servers with a recent success that was not
             reported to other zones before.
         observations: Their observations since the last report, without successes.
+        limits: Limits of backend servers that changed or have to be restated.
     """
 
     report_id: str
@@ -171,6 +188,7 @@
     loads: tuple[ServerLoad, ...] | None
     succeeded_server_ids: tuple[str, ...] = ()
     observations: tuple[Observation, ...] = ()
+    limits: tuple[LimitStatement, ...] = ()
 
 
 @vm_messages("zone_members")
--- a/burdockhitch/systems/direct/__init__.py
+++ b/burdockhitch/systems/direct/__init__.py
@@ -5,6 +5,7 @@
 from burdockhitch.systems.direct import (
     addresses,
     recent_successes,
+    sending_shares,
     server_limits,
     answers,
     server_estimates,
@@ -33,6 +34,7 @@
 __all__ = [
     "addresses",
     "recent_successes",
+    "sending_shares",
     "server_limits",
     "answers",
     "server_estimates",
--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -14,6 +14,7 @@
     selection_policies,
     would_miss_deadline,
 )
+from burdockhitch.systems.direct.sending_shares import spend_share
 from burdockhitch.systems.direct.server_estimates import OVERDUE_FACTOR, p_failing
 from burdockhitch.systems.endings import advance_request, make_refusal, refuse_request
 from burdockhitch.systems.phases import DIRECT, Phase, system
@@ -51,6 +52,7 @@
     )
     advance_request(world, row, "dispatch", now)
     update_in_flight_mean(world, row.service)
+    spend_share(world, server.server_id, now)
     world.attempts.insert(
         AttemptRow(
             attempt_id,
--- a/burdockhitch/systems/direct/reports.py
+++ b/burdockhitch/systems/direct/reports.py
@@ -29,6 +29,11 @@
     record_peer_answered,
     record_peer_overdue,
 )
+from burdockhitch.systems.direct.server_limits import (
+    has_unreported_statements,
+    pop_statements_in_zone,
+    record_peer_statements,
+)
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import message_handlers, timer_handlers
 from burdockhitch.tables.server_estimates import (
@@ -187,11 +192,16 @@
 def send_reports(world: World, now: Instant) -> None:
     """Report observations, retries and loads within the zone.
 
-    Observations and retries are reported at once. While no service is busy no loads
-    are reported, apart from an empty list that withdraws the last ones.
+    Observations, retries and limits of servers are reported at once. While no
+    service is busy no loads are reported, apart from an empty list that withdraws the
+    last ones.
     """
     loads = own_loads(world) if is_any_service_busy(world) else ()
-    is_due = len(world.unreported_observations) or has_unreported_retries(world)
+    is_due = (
+        len(world.unreported_observations) > 0
+        or has_unreported_retries(world)
+        or has_unreported_statements(world)
+    )
     if not is_due and not _is_load_due(world, loads, now):
         return
     rows = list(world.unreported_observations)[:OBSERVATIONS_MAX]
@@ -203,7 +213,13 @@
     zone = world.local.zone
     same_zone = [vm.message_address for vm in peers if vm.zone == zone]
     succeeded_server_ids = pop_unreported_in_zone(world, now)
-    report = Report(observations, loads, succeeded_server_ids, pop_own_usages(world))
+    report = Report(
+        observations,
+        loads,
+        succeeded_server_ids,
+        pop_own_usages(world),
+        pop_statements_in_zone(world, now),
+    )
     _send_report(world, same_zone, report)
     _record_zone_observations(world, world.local.vm_id, observations)
 
@@ -296,5 +312,8 @@
         world, report.succeeded_server_ids, now, is_from_other_zone=False
     )
     record_peer_usages(world, sender_vm_id, report.usages, now)
+    record_peer_statements(
+        world, report.limits, sender_vm_id, now, is_from_other_zone=False
+    )
     if report.loads is not None:
         replace_reported_loads(world, sender_vm_id, report.loads)
--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -12,6 +12,7 @@
     has_retry_budget,
 )
 from burdockhitch.systems.direct.reports import utilisation
+from burdockhitch.systems.direct.sending_shares import may_send
 from burdockhitch.systems.direct.server_estimates import (
     P_FAILING_SUSPECT,
     latency_ratio,
@@ -156,8 +157,9 @@
 def find_candidates(world: World, row: RequestRow, now: Instant) -> list[Candidate]:
     """Return the servers of a request's service that it may be sent to.
 
-    These are not draining, were not tried for it and have connections left. Servers
-    that this VM avoids are returned only if there is no other.
+    These are not draining, were not tried for it and have connections and, if they
+    state a limit, a request of this VM's share left. Servers that this VM avoids are
+    returned only if there is no other.
     """
     usable = []
     avoided = []
@@ -167,7 +169,7 @@
         if server.is_draining or server.server_id in row.tried:
             continue
         n_own = world.attempts.count("server_id", server.server_id)
-        if n_own >= connections_max:
+        if n_own >= connections_max or not may_send(world, server.server_id, now):
             continue
         estimate = world.server_estimates.fetch(server.server_id)
         candidate = _make_candidate(world, server, estimate, busy_share, now)
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -4,6 +4,7 @@
 from burdockhitch.direct_messages import MissingServer
 from burdockhitch.systems.direct.configuration import record_version, registry_view
 from burdockhitch.systems.direct.registry_changes import record_changes, record_gaps
+from burdockhitch.systems.direct.sending_shares import forget_share
 from burdockhitch.systems.direct.server_estimates import P_FAILING_STATIONARY
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.backend_servers import BackendServerRow, ServiceSlotsRow
@@ -59,7 +60,7 @@
             warm_up_until_s=warm_up_until_s,
         )
         world.server_estimates.put(estimate)
-        world.server_limits.discard(server.server_id)
+        forget_share(world, server.server_id)
     world.backend_servers.put(server)
     if server.server_id in world.missing_servers:
         world.missing_servers.remove(server.server_id)
@@ -83,7 +84,7 @@
     service = world.backend_servers.remove(server_id).service
     _update_slots(world, service)
     world.server_estimates.discard(server_id)
-    world.server_limits.discard(server_id)
+    forget_share(world, server_id)
     world.missing_servers.discard(server_id)
     stop_timer(world, TimerKind.MISSING_SERVER, server_id)
     log_event(world, "INFO", "server_removed", server=server_id, reason=reason)
--- a/burdockhitch/systems/direct/zone_reports.py
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -21,6 +21,10 @@
     replace_reported_loads,
     same_zone_loads,
 )
+from burdockhitch.systems.direct.server_limits import (
+    pop_statements_for_other_zones,
+    record_peer_statements,
+)
 from burdockhitch.systems.timing import message_handlers, timer_handlers
 from burdockhitch.tables.server_estimates import ReceivedZoneReportRow
 from burdockhitch.tables.timers import TimerKind
@@ -122,7 +126,8 @@
         return
     is_busy = is_any_service_busy(world)
     succeeded_server_ids = pop_unreported_for_other_zones(world, now)
-    if not (is_busy or observations or succeeded_server_ids):
+    limits = pop_statements_for_other_zones(world, now)
+    if not (is_busy or observations or succeeded_server_ids or limits):
         return
     sequence = next_sequence(world, "zone_report")
     report = ZoneReport(
@@ -131,6 +136,7 @@
         same_zone_loads(world) if is_busy else None,
         succeeded_server_ids,
         observations,
+        limits,
     )
     _send_to_other_zones(world, report)
 
@@ -209,6 +215,9 @@
     record_peer_successes(
         world, report.succeeded_server_ids, now, is_from_other_zone=True
     )
+    record_peer_statements(
+        world, report.limits, _zone_key(report.zone), now, is_from_other_zone=True
+    )
     if report.loads is not None:
         replace_reported_loads(world, _zone_key(report.zone), report.loads)
         due_s = now.monotonic_s + ZONE_LOADS_EXPIRY_S
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -87,6 +87,7 @@
     MISSING_SERVER = "departure"
     MESSAGE_TICK = "collect"
     ZONE_REPORT = "zone_report"
+    SENDING_SHARES = "sending_shares"
 
 
 class TimerRow(NamedTuple):
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -94,6 +94,7 @@
     received_zone_reports: Table[estimate_tables.ReceivedZoneReportRow]
     recent_successes: Table[estimate_tables.RecentSuccessRow]
     server_limits: Table[server_limits.ServerLimitRow]
+    sending_shares: Table[server_limits.SendingShareRow]
     registry_views: Table[registry_views.RegistryViewRow]
     registry_changes: Table[registry_views.RegistryChangeRow]
     registry_gaps: Table[registry_views.RegistryGapRow]
@@ -177,6 +178,7 @@
         received_zone_reports=estimate_tables.make_received_zone_reports(),
         recent_successes=estimate_tables.make_recent_successes(),
         server_limits=server_limits.make_server_limits(),
+        sending_shares=server_limits.make_sending_shares(),
         registry_views=registry_views.make_registry_views(),
         registry_changes=registry_views.make_registry_changes(),
         registry_gaps=registry_views.make_registry_gaps(),
