Show that VMs miss what servers write to a store that was restored from a copy

After a restore the versions of the list of servers are below the one that VMs hold, so all they read is dropped: a server that drains is used after 2 s, the bound of the drain, and a new server by no VM (hypothesis 1).

--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -239,7 +239,7 @@
             registry.rows(command.part),
         )
         event = events.RegistryRead(command.operation_id, None, version, True, rows)
-    elif registry.is_history_gone:
+    elif registry.is_history_gone or command.after_version > registry.version:
         registry.is_history_gone = False
         event = events.RegistryRead(command.operation_id, PlatformHistoryGoneError)
     else:
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -50,10 +50,21 @@
     return ConfigurationDocument(version, routes, 1 << 20, 1 << 14, 15.0, {})
 
 
+class RegistryBackup(NamedTuple):
+    """State of a registry at an earlier time; see ``FakeRegistry``."""
+
+    version: int
+    configuration: ConfigurationDocument
+    servers: dict[str, BackendServerRow]
+    changes: tuple[tuple[int, RegistryPart, str], ...]
+    vms: dict[str, Any]
+
+
 class FakeRegistry:
     """An in-memory stand-in for the platform's registry.
 
     Attributes:
+        era: Number of times that it was restored from a copy.
         version: Version of the last change.
         configuration: The configuration in force.
         servers: Rows of backend servers by ID.
@@ -70,6 +81,7 @@
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.version = 1
         self.configuration = make_configuration(1, make_route())
         self.servers: dict[str, BackendServerRow] = {}
@@ -86,6 +98,25 @@
         self.version += 1
         self.changes.append((self.version, part, key))
 
+    def copy(self) -> RegistryBackup:
+        """Return a copy from which the registry can be restored."""
+        return RegistryBackup(
+            self.version,
+            self.configuration,
+            dict(self.servers),
+            tuple(self.changes),
+            dict(self.vms),
+        )
+
+    def restore(self, backup: RegistryBackup) -> None:
+        """Go back to an earlier state, with its versions, in a new era."""
+        self.era += 1
+        self.version = backup.version
+        self.configuration = backup.configuration
+        self.servers = dict(backup.servers)
+        self.changes = list(backup.changes)
+        self.vms = dict(backup.vms)
+
     def rows(self, part: RegistryPart) -> tuple[Any, ...]:
         """Return all rows of one part of the registry."""
         if part is RegistryPart.CONFIGURATION:
