Follow a store that was restored from an older copy

Callers could be sent to servers that had drained, and new servers got nothing, for as long as the restored store's versions lay below the one that VMs held; with versions given out again, a drain could stay unseen until the server ended.

Cause: VMs compare the store's versions as if they never went back.

Change: the platform adapter puts the era of an answer into the version, above the store's own number, so each read, copy and announcement compares rightly, and a watch that is answered in another era reads all again. The first list of a new era is a state of the past: entries that this VM knows by a later number stay (a server that drains), servers that left in the last 60 s stay away, and those that the copy lacks stay for 2.2 s, in which they write again.

Each server entry's number is now held; entries that differ in it only count as equal, so it causes no copies.

--- a/burdockhitch/platform/decoding.py
+++ b/burdockhitch/platform/decoding.py
@@ -131,6 +131,7 @@
         line=0,
         warm_up_remaining_s=document.get("warmupLeftS", 0.0),
         process_started_ms=document.get("born", 0),
+        sequence=document["sequence"],
     )
 
 
--- a/burdockhitch/platform/names.py
+++ b/burdockhitch/platform/names.py
@@ -10,6 +10,8 @@
 # Set only by a backend server that did not run the request.
 NOT_EXECUTED = "not-executed"
 RETRY_AFTER = "retry-after"
+# Rises by one each time the store comes back from an older copy.
+STORE_ERA = "store-era"
 # Requests a second that a backend server accepts from all VMs together.
 SERVER_LIMIT = "server-limit"
 
--- a/burdockhitch/platform/store.py
+++ b/burdockhitch/platform/store.py
@@ -1,5 +1,6 @@
 """The only client of the platform's store, which holds the registry."""
 
+import re
 from collections.abc import Callable
 from typing import Any, NamedTuple
 from urllib.parse import urlencode
@@ -14,6 +15,7 @@
     send_internal_request,
 )
 from burdockhitch.adapters.exchange import HttpAnswer
+from burdockhitch.adapters.headers import HeaderPairs, find_header
 from burdockhitch.errors import (
     BurdockhitchError,
     DocumentError,
@@ -40,9 +42,16 @@
     WireTransaction,
 )
 from burdockhitch.platform.process import PlatformProcess, command_handlers
-from burdockhitch.tables.registry_views import RegistryPart
+from burdockhitch.tables.registry_views import (
+    RegistryPart,
+    era_of,
+    make_version,
+    number_of,
+)
 
 STATUS_OK = 200
+ERA = re.compile(r"[0-9]{1,6}")
+DETAIL_MAX_CHARACTERS = 80
 ROWS_PER_PAGE = 500
 ERROR_BY_STATUS: dict[int, type[BurdockhitchError]] = {
     410: PlatformHistoryGoneError,
@@ -52,6 +61,18 @@
 }
 
 
+class StoreAnswer(NamedTuple):
+    """A successful answer of the store.
+
+    Attributes:
+        body: JSON document.
+        era: Number of times that the store came back from an older copy.
+    """
+
+    body: bytes
+    era: int
+
+
 class RegistrySource(NamedTuple):
     """Location and decoder of one part of the registry in the store.
 
@@ -77,25 +98,38 @@
 }
 
 
+def decode_era(headers: HeaderPairs) -> int:
+    """Return the era of a store's answer, 0 if it names none.
+
+    Raises:
+        DocumentError: If it is not a number.
+    """
+    text = find_header(headers, names.STORE_ERA)
+    if text and ERA.fullmatch(text) is None:
+        raise DocumentError(names.STORE_ERA, text[:DETAIL_MAX_CHARACTERS])
+    return int(text or "0")
+
+
 def call_store(
     process: PlatformProcess,
     method: str,
     path: str,
     timeout_s: float,
     body: bytes = b"",
-) -> Deferred[bytes]:
-    """Call the store and return the body of its answer.
+) -> Deferred[StoreAnswer]:
+    """Call the store and return its answer.
 
     Returns:
-        A deferred with the body. It fails with an error of ``ERROR_BY_STATUS``, or
-        with ``PlatformUnavailableError`` if no usable answer arrives in time.
+        A deferred with the answer. It fails with an error of ``ERROR_BY_STATUS``, with
+        ``DocumentError`` if the era is malformed, or with
+        ``PlatformUnavailableError`` if no usable answer arrives in time.
     """
     address = process.world.settings.platform.address
     request = make_internal_request(address, method, path, body)
 
-    def check_status(answer: HttpAnswer) -> bytes:
+    def check_status(answer: HttpAnswer) -> StoreAnswer:
         if answer.status == STATUS_OK:
-            return answer.body
+            return StoreAnswer(answer.body, decode_era(answer.headers))
         error = ERROR_BY_STATUS.get(answer.status, PlatformUnavailableError)
         raise error(str(answer.status))
 
@@ -149,7 +183,11 @@
 
 
 def _read_complete(process: PlatformProcess, part: RegistryPart) -> Deferred[WireRows]:
-    """Read all pages; a watch from the first page's version misses no change."""
+    """Read all pages; a watch from the first page's version misses no change.
+
+    The deferred fails with ``PlatformHistoryGoneError`` if the store was restored
+    from a copy between two pages.
+    """
     source = REGISTRY_SOURCES[part]
     timeout_s = process.world.settings.platform.timeout_s
     rows_read: list[WireRow] = []
@@ -159,10 +197,12 @@
         path = _read_path(source, after_key)
         return call_store(process, "GET", path, timeout_s).addCallback(handle_page)
 
-    def handle_page(body: bytes) -> Any:
-        page = decode_rows(body)
+    def handle_page(answer: StoreAnswer) -> Any:
+        page = decode_rows(answer.body)
         rows_read.extend(page["rows"])
-        versions.append(page["ver"])
+        versions.append(make_version(answer.era, page["ver"]))
+        if answer.era != era_of(versions[0]):
+            raise PlatformHistoryGoneError("restored between two pages")
         if page.get("hasMore") and not source.key and page["rows"]:
             return read_page(page["rows"][-1]["key"])
         return WireRows(rows=rows_read, ver=versions[0])
@@ -173,14 +213,26 @@
 def _watch(
     process: PlatformProcess, part: RegistryPart, after_version: int, wait_s: float
 ) -> Deferred[WireRows]:
+    """Read what changed after a version; fail if the store was restored since.
+
+    A restored store gives out versions again, so it may know this one by chance.
+    """
     query = {
         "table": REGISTRY_SOURCES[part].table,
-        "after": after_version,
+        "after": number_of(after_version),
         "waitMs": int(wait_s * 1000),
     }
     path = f"{names.WATCH_PATH}?{urlencode(query)}"
     timeout_s = wait_s + process.world.settings.platform.timeout_s
-    return call_store(process, "GET", path, timeout_s).addCallback(decode_rows)
+
+    def check_era(answer: StoreAnswer) -> WireRows:
+        if answer.era != era_of(after_version):
+            raise PlatformHistoryGoneError(f"restored, era {answer.era}")
+        rows = decode_rows(answer.body)
+        rows["ver"] = make_version(answer.era, rows["ver"])
+        return rows
+
+    return call_store(process, "GET", path, timeout_s).addCallback(check_era)
 
 
 @command_handlers("ReadRegistry")
@@ -218,7 +270,7 @@
         process, "POST", names.TRANSACTION_PATH, timeout_s, body
     )
 
-    def post_success(_body: bytes) -> None:
+    def post_success(_answer: StoreAnswer) -> None:
         process.ticker.post(events.RowWritten(operation_id, None))
 
     def post_failure(failure: Failure) -> None:
--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -105,10 +105,14 @@
         # Reading the list may work even if the write failed.
         start_timer(world, TimerKind.REGISTRY_READ, RegistryPart.VMS, now.monotonic_s)
         if event.error is not None:
-            delay_s = WRITE_RETRY_S + world.rng.random() * WRITE_RETRY_JITTER_S
-            start_timer(
-                world, TimerKind.HEARTBEAT, WRITE_OWN_ROW, now.monotonic_s + delay_s
-            )
+            schedule_row_write(world, now)
+
+
+def schedule_row_write(world: World, now: Instant) -> None:
+    """Write this VM's row again after a random delay, as many VMs may do so."""
+    delay_s = WRITE_RETRY_S + world.rng.random() * WRITE_RETRY_JITTER_S
+    due_s = now.monotonic_s + delay_s
+    start_timer(world, TimerKind.HEARTBEAT, WRITE_OWN_ROW, due_s)
 
 
 def refresh_own_row(world: World, now: Instant) -> VmRow:
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -3,6 +3,7 @@
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import MissingServer
 from burdockhitch.systems.direct.configuration import record_version, registry_view
+from burdockhitch.systems.direct.membership import schedule_row_write
 from burdockhitch.systems.direct.registry_changes import record_changes, record_gaps
 from burdockhitch.systems.direct.sending_shares import forget_share
 from burdockhitch.systems.direct.server_estimates import P_FAILING_STATIONARY
@@ -12,15 +13,20 @@
     MissingServerRow,
     RegistryGap,
     RegistryPart,
+    RemovedServerRow,
+    era_of,
 )
 from burdockhitch.tables.server_estimates import ServerEstimateRow
 from burdockhitch.tables.timers import TimerKind
-from burdockhitch.world import World, log_event, start_timer, stop_timer
+from burdockhitch.world import World, count, log_event, start_timer, stop_timer
 
 # Entries that expired during an outage of the platform are listed again within two
 # seconds of its end, and the rest allows for a call that the platform left unanswered
 # and that ends a little later.
 RELISTING_S = 2.2
+# Time for which this VM remembers servers that left, for a restored list that holds
+# them: the copies from which the platform's store is restored are some seconds old.
+REMOVED_MEMORY_S = 60.0
 # Source of a list that this VM read itself; others are IDs of VMs.
 PLATFORM_SOURCE = "platform"
 
@@ -34,8 +40,79 @@
 
 def _is_changed(world: World, server: BackendServerRow) -> bool:
     """Return whether a listed server differs from the one held or was missing."""
-    is_missing = server.server_id in world.missing_servers
-    return is_missing or world.backend_servers.get(server.server_id) != server
+    held = world.backend_servers.get(server.server_id)
+    if held is None or server.server_id in world.missing_servers:
+        return True
+    return held._replace(sequence=server.sequence) != server
+
+
+def _is_outdated(world: World, server: BackendServerRow, now: Instant) -> bool:
+    """Return whether this VM knows better than a restored list what a server does.
+
+    That is, whether it holds a later entry, or knows that the process has left. The
+    entry of one that left tells nothing: its number rises without a new version.
+    """
+    held = world.backend_servers.get(server.server_id)
+    if held is not None:
+        known = (held.process_started_ms, held.sequence)
+        return known > (server.process_started_ms, server.sequence)
+    removed = world.removed_servers.get(server.server_id)
+    return (
+        removed is not None
+        and now.monotonic_s - removed.removed_at_s <= REMOVED_MEMORY_S
+        and server.process_started_ms <= removed.process_started_ms
+    )
+
+
+def _remember_removed(world: World, server: BackendServerRow, now: Instant) -> None:
+    """Remember a server that left, and forget those that left long ago."""
+    now_s = now.monotonic_s
+    earlier = world.removed_servers.get(server.server_id)
+    started_ms = server.process_started_ms
+    if earlier is not None:
+        started_ms = max(started_ms, earlier.process_started_ms)
+    world.removed_servers.put(RemovedServerRow(server.server_id, started_ms, now_s))
+    oldest = world.removed_servers.first("removed_at_s")
+    while oldest and now_s - oldest.removed_at_s > REMOVED_MEMORY_S:
+        world.removed_servers.remove(oldest.server_id)
+        oldest = world.removed_servers.first("removed_at_s")
+
+
+def _drop_outdated(
+    world: World, servers: tuple[BackendServerRow, ...], now: Instant
+) -> tuple[BackendServerRow, ...]:
+    """Return a restored list as this VM knows it better.
+
+    The copy shows servers as they were. Those that have left since are dropped, and
+    those that this VM knows by a later entry, as one that drains, stay as they are.
+    """
+    kept = []
+    for server in servers:
+        held = world.backend_servers.get(server.server_id)
+        if not _is_outdated(world, server, now):
+            kept.append(server)
+        elif held is not None:
+            kept.append(held)
+    return tuple(kept)
+
+
+def _begin_era(world: World, version: int, now: Instant) -> bool:
+    """Record if a list is the first one since the store was restored from a copy.
+
+    Returns:
+        Whether it is.
+    """
+    view = registry_view(world, RegistryPart.SERVERS)
+    if not view.version or era_of(version) == era_of(view.version):
+        return False
+    world.registry_views.put(view._replace(restored_at_s=now.monotonic_s))
+    count(world, "registry_restores")
+    log_event(
+        world, "WARNING", "registry_restored", version=version, previous=view.version
+    )
+    # The rows that VMs wrote in the lost seconds are lost, too.
+    schedule_row_write(world, now)
+    return True
 
 
 def _update_slots(world: World, service: str) -> None:
@@ -77,12 +154,13 @@
         )
 
 
-def _delete_server(world: World, server_id: str, reason: str) -> None:
+def _delete_server(world: World, server_id: str, reason: str, now: Instant) -> None:
     """Remove a server and all that is stored about it."""
     if server_id not in world.backend_servers:
         return
-    service = world.backend_servers.remove(server_id).service
-    _update_slots(world, service)
+    server = world.backend_servers.remove(server_id)
+    _remember_removed(world, server, now)
+    _update_slots(world, server.service)
     world.server_estimates.discard(server_id)
     forget_share(world, server_id)
     world.missing_servers.discard(server_id)
@@ -91,9 +169,14 @@
 
 
 def _relisted_at_s(world: World) -> float:
-    """Return the time by which entries that expired in an outage are listed again."""
-    read_failed_at_s = registry_view(world, RegistryPart.SERVERS).read_failed_at_s
-    return read_failed_at_s + RELISTING_S if read_failed_at_s > 0 else 0.0
+    """Return the time by which all servers that still run are listed again.
+
+    They write their entries again that expired in an outage of the platform, or that
+    its store lost when it was restored.
+    """
+    view = registry_view(world, RegistryPart.SERVERS)
+    lost_at_s = max(view.read_failed_at_s, view.restored_at_s)
+    return lost_at_s + RELISTING_S if lost_at_s > 0 else 0.0
 
 
 def remove_server(world: World, server_id: str, now: Instant) -> None:
@@ -105,7 +188,7 @@
         return
     due_s = _relisted_at_s(world)
     if now.monotonic_s >= due_s:
-        _delete_server(world, server_id, "removed from the registry")
+        _delete_server(world, server_id, "removed from the registry", now)
     else:
         _schedule_removal(world, server_id, due_s)
 
@@ -131,7 +214,7 @@
 @timer_handlers(TimerKind.MISSING_SERVER)
 def remove_missing_server(world: World, server_id: str, now: Instant) -> None:
     """Remove a server that was not listed again in time."""
-    _delete_server(world, server_id, "not listed again after a platform outage")
+    _delete_server(world, server_id, "not listed again after a platform outage", now)
 
 
 def apply_servers(
@@ -159,6 +242,8 @@
     held_version = registry_view(world, RegistryPart.SERVERS).version
     if version <= held_version:
         return False
+    if _begin_era(world, version, now):
+        servers = _drop_outdated(world, servers, now)
     changed = servers
     if is_complete:
         listed = {server.server_id for server in servers}
@@ -177,7 +262,7 @@
         if source == PLATFORM_SOURCE:
             remove_server(world, server_id, now)
         else:
-            _delete_server(world, server_id, "removed on the VM copied from")
+            _delete_server(world, server_id, "removed on the VM copied from", now)
     for server_id, removal_in_s in missing:
         _schedule_removal(world, server_id, now.monotonic_s + removal_in_s)
     part = RegistryPart.SERVERS
--- a/burdockhitch/tables/backend_servers.py
+++ b/burdockhitch/tables/backend_servers.py
@@ -27,6 +27,8 @@
             start, when the registry was read.
         process_started_ms: Wall-clock time at which its process started, in
             milliseconds since 1970; 0 if unknown.
+        sequence: Number of its registry entry, which rises while the process runs.
+            Entries that differ in it only count as equal.
     """
 
     server_id: str
@@ -40,6 +42,7 @@
     line: int
     warm_up_remaining_s: float = 0.0
     process_started_ms: int = 0
+    sequence: int = 0
 
 
 class OwnershipRow(NamedTuple):
--- a/burdockhitch/tables/registry_views.py
+++ b/burdockhitch/tables/registry_views.py
@@ -6,6 +6,30 @@
 from burdockhitch.tables.prefix_routes import PrefixRouteRow
 from burdockhitch.tables.table import Table
 
+# Versions of one era, i.e. between two restores of the platform's store. A power of
+# ten, so that both numbers can be read from a version in a log line.
+VERSIONS_PER_ERA = 10**12
+
+
+def make_version(era: int, number: int) -> int:
+    """Return a version that rises although a restored store numbers changes anew.
+
+    Args:
+        era: Number that rises with each restore of the store from a copy.
+        number: Version of the store, which goes back at a restore.
+    """
+    return era * VERSIONS_PER_ERA + number
+
+
+def era_of(version: int) -> int:
+    """Return the era of a version."""
+    return version // VERSIONS_PER_ERA
+
+
+def number_of(version: int) -> int:
+    """Return the version within its era, as the store counts it."""
+    return version % VERSIONS_PER_ERA
+
 
 class RegistryPart(StrEnum):
     """Parts of the registry, each with a version of its own."""
@@ -49,6 +73,8 @@
             VM; 0 for none.
         read_failed_at_s: Monotonic time of this VM's last failed read from the
             platform; 0 for none.
+        restored_at_s: Monotonic time at which this VM learned that the platform's
+            store was restored from a copy; 0 if it was not.
         n_failures: Failed reads from the platform since the last successful one.
         operation_id: Read or watch in progress, empty for none.
         changes_from_version: Oldest version from which on all changes are recorded in
@@ -60,6 +86,7 @@
     watch_from_version: int = 0
     platform_answered_at_s: float = 0.0
     read_failed_at_s: float = 0.0
+    restored_at_s: float = 0.0
     n_failures: int = 0
     operation_id: str = ""
     changes_from_version: int = 0
@@ -132,6 +159,20 @@
     server_id: str
 
 
+class RemovedServerRow(NamedTuple):
+    """A backend server that left, by which a restored list that holds it is known.
+
+    Attributes:
+        server_id: Backend server.
+        process_started_ms: Start of its latest process; see ``BackendServerRow``.
+        removed_at_s: Monotonic time of the removal.
+    """
+
+    server_id: str
+    process_started_ms: int
+    removed_at_s: float
+
+
 def make_registry_views() -> Table[RegistryViewRow]:
     """Return an empty table of views by registry part."""
     return Table(RegistryViewRow, key="part")
@@ -160,3 +201,8 @@
 def make_missing_servers() -> Table[MissingServerRow]:
     """Return an empty table of backend servers to be removed."""
     return Table(MissingServerRow, key="server_id")
+
+
+def make_removed_servers() -> Table[RemovedServerRow]:
+    """Return an empty table of backend servers that left."""
+    return Table(RemovedServerRow, key="server_id", sorted_fields=("removed_at_s",))
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -34,7 +34,11 @@
     make_snapshot,
     record_sent_copy,
 )
-from burdockhitch.tables.registry_views import RegistryPart
+from burdockhitch.tables.registry_views import (
+    RegistryPart,
+    make_version,
+    number_of,
+)
 
 MESSAGE_DELAY_S = 0.001
 REGISTRY_DELAY_S = 0.004
@@ -235,11 +239,11 @@
         event = events.RegistryRead(command.operation_id, PlatformUnavailableError)
     elif command.after_version == 0:
         version, rows = registry.stale_full_read or (
-            registry.version,
+            make_version(registry.era, registry.version),
             registry.rows(command.part),
         )
         event = events.RegistryRead(command.operation_id, None, version, True, rows)
-    elif registry.is_history_gone or command.after_version > registry.version:
+    elif registry.is_history_gone or registry.has_lost(command.after_version):
         registry.is_history_gone = False
         event = events.RegistryRead(command.operation_id, PlatformHistoryGoneError)
     else:
@@ -256,7 +260,7 @@
     keys = {
         key
         for version, part, key in registry.changes
-        if part is command.part and version > command.after_version
+        if part is command.part and version > number_of(command.after_version)
     }
     if command.part is RegistryPart.CONFIGURATION:
         rows = (registry.configuration,) if keys else ()
@@ -264,8 +268,9 @@
     else:
         rows = tuple(registry.servers[key] for key in keys if key in registry.servers)
         removed = tuple(key for key in keys if key not in registry.servers)
+    version = make_version(registry.era, registry.version)
     return events.RegistryRead(
-        command.operation_id, None, registry.version, False, rows, removed
+        command.operation_id, None, version, False, rows, removed
     )
 
 
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -20,7 +20,12 @@
 from burdockhitch.systems.phases import run_tick
 from burdockhitch.tables.backend_servers import BackendServerRow
 from burdockhitch.tables.prefix_routes import PrefixRouteRow, RouteTarget
-from burdockhitch.tables.registry_views import ConfigurationDocument, RegistryPart
+from burdockhitch.tables.registry_views import (
+    ConfigurationDocument,
+    RegistryPart,
+    era_of,
+    number_of,
+)
 from burdockhitch.tests.direct_edges import CallerReply, IssuedAttempt, handlers
 from burdockhitch.tests.fakes import FakeClock
 from burdockhitch.world import World, make_world, post_event
@@ -117,6 +122,10 @@
         self.changes = list(backup.changes)
         self.vms = dict(backup.vms)
 
+    def has_lost(self, version: int) -> bool:
+        """Return whether a version is of an earlier era or of no change so far."""
+        return era_of(version) != self.era or number_of(version) > self.version
+
     def rows(self, part: RegistryPart) -> tuple[Any, ...]:
         """Return all rows of one part of the registry."""
         if part is RegistryPart.CONFIGURATION:
--- a/burdockhitch/tests/test_direct_restored_store.py
+++ b/burdockhitch/tests/test_direct_restored_store.py
@@ -4,7 +4,7 @@
 
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.tables.registry_views import RegistryPart
-from burdockhitch.tests.direct_fakes import make_route, start_fleet
+from burdockhitch.tests.direct_fakes import make_route, make_server, start_fleet
 
 # The users' bounds on how long a draining server or an older configuration is used.
 DRAIN_S = 2.0
@@ -119,3 +119,113 @@
         registry_view(world, RegistryPart.CONFIGURATION).version
         for world in fleet.worlds.values()
     } == {9}
+
+
+def entry(number, **fields):
+    """Return fields of an entry that the second process of a server has written."""
+    return {"process_started_ms": 2, "sequence": number, "zone": "a", **fields}
+
+
+def start_with_entry(n_vms=6):
+    """Return a fleet with a server "s", and a backup.
+
+    The entry has number 3 as VMs know it, and 5 in the backup: a server's heartbeats
+    raise the number without a new version.
+    """
+    fleet = start_fleet(n_vms=n_vms, zones=ZONES)
+    fleet.add_server("s", **entry(3))
+    fleet.run(2.0)
+    fleet.registry.servers["s"] = make_server("s", **entry(5))
+    return fleet, fleet.registry.copy()
+
+
+DEPARTURES = {
+    "drains": [entry(6, is_draining=True)],
+    "drains and leaves": [entry(6, is_draining=True), None],
+    "leaves": [None],
+    "leaves and an older process writes": [None, entry(9, process_started_ms=1), None],
+}
+
+
+@pytest.mark.parametrize("departure", DEPARTURES.values(), ids=DEPARTURES)
+def test_a_server_that_left_in_the_lost_seconds_is_not_used_again(departure):
+    fleet, backup = start_with_entry()
+    for fields in departure:
+        if fields is None:
+            fleet.remove_server("s")
+        else:
+            fleet.add_server("s", **fields)
+        fleet.run(2.0)
+    restore(fleet, backup)
+    used_by = set()
+    for _step in range(60):
+        fleet.run(0.1)
+        used_by |= vms_that_use(fleet, "s")
+    assert used_by == set()
+
+
+RETURNS = {
+    "the same process": entry(7),
+    "a new process": entry(1, process_started_ms=3),
+}
+
+
+@pytest.mark.parametrize("fields", RETURNS.values(), ids=RETURNS)
+@pytest.mark.parametrize("left", ["is_draining", "is_removed"])
+def test_a_server_that_writes_anew_after_the_restore_is_used(left, fields):
+    fleet, backup = start_with_entry()
+    if left == "is_draining":
+        fleet.add_server("s", **entry(6, is_draining=True))
+    else:
+        fleet.remove_server("s")
+    fleet.run(2.0)
+    restore(fleet, backup)
+    fleet.run(1.0)
+    fleet.add_server("s", **fields)
+    fleet.run(DRAIN_S)
+    assert vms_that_use(fleet, "s") == set(fleet.worlds)
+
+
+@pytest.mark.parametrize("is_written_again", [True, False])
+def test_a_server_of_the_lost_seconds_stays_only_if_it_writes_again(is_written_again):
+    fleet = start_fleet(n_vms=6, zones=ZONES)
+    backup = fleet.registry.copy()
+    fleet.add_server("s", **entry(1))
+    fleet.run(2.0)
+    restore(fleet, backup)
+    fleet.run(REWRITTEN_S)
+    assert vms_that_use(fleet, "s") == set(fleet.worlds)
+    if is_written_again:
+        fleet.add_server("s", **entry(2))
+    fleet.run(DRAIN_S)
+    assert vms_that_use(fleet, "s") == (
+        set(fleet.worlds) if is_written_again else set()
+    )
+
+
+def test_vms_write_their_rows_again_after_a_restore():
+    fleet = start_fleet(n_vms=0, zones=ZONES)
+    backup = fleet.registry.copy()
+    for number in range(4):
+        fleet.add_vm(f"vm-{number}", ZONES[number % 2])
+    fleet.run(3.0)
+    restore(fleet, backup)
+    fleet.run(8.0)
+    assert set(fleet.registry.vms) == set(fleet.worlds)
+
+
+def test_a_vm_that_missed_two_restores_follows_the_last():
+    fleet, backup = start_with_entry()
+    fleet.registry.refused_vms = {"vm-0"}
+    for name in ("vm-1", "vm-2", "vm-3", "vm-4", "vm-5"):
+        fleet.blocked_links |= {("vm-0", name), (name, "vm-0")}
+    for number in range(2):
+        fleet.registry.restore(backup)
+        add_servers(fleet, number + 1)
+        fleet.run(3.0)
+    fleet.blocked_links.clear()
+    fleet.registry.refused_vms = set()
+    drain(fleet, "1")
+    fleet.run(6.0)
+    assert vms_that_use(fleet, "1") == set()
+    assert vms_that_use(fleet, "new-1") == set(fleet.worlds)
