--- a/burdockhitch/platform/store.py
+++ b/burdockhitch/platform/store.py
@@ -50,7 +50,7 @@
 )
 
 STATUS_OK = 200
-ERA = re.compile(r"[0-9]{1,6}")
+ERA = re.compile(r"[0-9]{1,4}")
 DETAIL_MAX_CHARACTERS = 80
 ROWS_PER_PAGE = 500
 ERROR_BY_STATUS: dict[int, type[BurdockhitchError]] = {
--- a/burdockhitch/tables/registry_views.py
+++ b/burdockhitch/tables/registry_views.py
@@ -8,7 +8,7 @@
 
 # Versions of one era, i.e. between two restores of the platform's store. A power of
 # ten, so that both numbers can be read from a version in a log line.
-VERSIONS_PER_ERA = 10**12
+VERSIONS_PER_ERA = 10**11
 
 
 def make_version(era: int, number: int) -> int:
