Let one odd entry in the store cost nothing but itself

Report of other operators: machines that read the list of servers ended or stopped following it. Here a deeply nested entry, also in a field that nothing reads, raised RecursionError in each read, so VMs kept the list that they had; a VM that starts then never becomes ready from the store. Numbers above 64 bits can't be sent to other VMs, ports above 65535 and names as addresses reached the code that connects, and an id with a line break the code that writes headers.

Cause: the decoder's error for depth is of another type than its others, and documents had types without bounds.

--- a/burdockhitch/platform/decoding.py
+++ b/burdockhitch/platform/decoding.py
@@ -2,12 +2,16 @@
 
 import base64
 import binascii
+import ipaddress
+import re
+from typing import Any
 
 import msgspec
 
 from burdockhitch.errors import DocumentError
 from burdockhitch.platform import names
 from burdockhitch.platform.documents import (
+    NUMBER_MAX,
     WireConfiguration,
     WireRoute,
     WireRow,
@@ -23,6 +27,23 @@
 _server_decoder = msgspec.json.Decoder(WireServer)
 _vm_decoder = msgspec.json.Decoder(VmRow)
 _rows_decoder = msgspec.json.Decoder(WireRows)
+# What a header can hold as a value.
+SERVER_ID = re.compile(r"[!-~]{1,200}")
+PORT = re.compile(r"[0-9]{1,5}")
+PORT_MAX = 65535
+WARM_UP_MAX_S = 3600.0
+
+
+def _decode(decoder: Any, body: bytes, subject: str) -> Any:
+    """Decode a document.
+
+    Raises:
+        DocumentError: If the document is malformed or too deeply nested.
+    """
+    try:
+        return decoder.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise DocumentError(subject, str(error)) from None
 
 
 def decode_rows(body: bytes) -> WireRows:
@@ -31,10 +52,7 @@
     Raises:
         DocumentError: If the answer is malformed.
     """
-    try:
-        return _rows_decoder.decode(body)
-    except msgspec.MsgspecError as error:
-        raise DocumentError("store answer", str(error)) from None
+    return _decode(_rows_decoder, body, "store answer")
 
 
 def decode_row_value(row: WireRow) -> bytes:
@@ -76,10 +94,7 @@
     Raises:
         DocumentError: If the document is malformed.
     """
-    try:
-        document = _configuration_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise DocumentError("configuration", str(error)) from None
+    document: WireConfiguration = _decode(_configuration_decoder, body, "configuration")
     limits = document["limits"]
     return ConfigurationDocument(
         version=document["version"],
@@ -94,17 +109,23 @@
     )
 
 
+def _is_ip_address_with_port(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    if PORT.fullmatch(port) is None or not 0 < int(port) <= PORT_MAX:
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ipaddress.AddressValueError:
+        return False
+    return True
+
+
 def _check_server(server_id: str, document: WireServer) -> None:
     if document["state"] not in (names.SERVER_STATE_READY, names.SERVER_STATE_DRAINING):
         raise DocumentError(server_id, f"unknown state {document['state']!r}")
-    host, _, port = document["address"].rpartition(":")
-    if not host or not port.isdecimal():
-        raise DocumentError(
-            server_id, f"address is not host:port: {document['address']!r}"
-        )
-    if document["concurrency"] < 1:
+    if not _is_ip_address_with_port(document["address"]):
         raise DocumentError(
-            server_id, f"concurrency {document['concurrency']} is below 1"
+            server_id, f"address is not ip:port: {document['address']!r}"
         )
 
 
@@ -112,12 +133,11 @@
     """Decode the registry entry of a backend server.
 
     Raises:
-        DocumentError: If the entry is malformed.
+        DocumentError: If the id or the entry is malformed.
     """
-    try:
-        document = _server_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise DocumentError(server_id, str(error)) from None
+    if SERVER_ID.fullmatch(server_id) is None:
+        raise DocumentError(repr(server_id), "no id of a server")
+    document: WireServer = _decode(_server_decoder, body, server_id)
     _check_server(server_id, document)
     return BackendServerRow(
         server_id=server_id,
@@ -129,7 +149,9 @@
         is_draining=document["state"] == names.SERVER_STATE_DRAINING,
         requester="",
         line=0,
-        warm_up_remaining_s=document.get("warmupLeftS", 0.0),
+        warm_up_remaining_s=min(
+            WARM_UP_MAX_S, max(0.0, document.get("warmupLeftS", 0.0))
+        ),
         process_started_ms=document.get("born", 0),
         sequence=document["sequence"],
     )
@@ -139,12 +161,13 @@
     """Decode the row that a VM wrote to the registry.
 
     Raises:
-        DocumentError: If the document is malformed.
+        DocumentError: If the document is malformed or of another VM.
     """
-    try:
-        return _vm_decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise DocumentError(vm_id, str(error)) from None
+    row: VmRow = _decode(_vm_decoder, body, vm_id)
+    numbers = [value for value in row if isinstance(value, int)]
+    if row.vm_id != vm_id or not all(0 <= n <= NUMBER_MAX for n in numbers):
+        raise DocumentError(vm_id, "not a row that a VM writes")
+    return row
 
 
 def encode_vm(row: VmRow) -> str:
--- a/burdockhitch/platform/documents.py
+++ b/burdockhitch/platform/documents.py
@@ -1,6 +1,16 @@
 """JSON documents of the platform's protocols, with the platform's field names."""
 
-from typing import Any, NotRequired, TypedDict
+from typing import Annotated, Any, NotRequired, TypedDict
+
+from msgspec import Meta
+
+# Any writer may put an entry into the store, so what its readers compute with, send on
+# or allocate by has a bound. Whole numbers fit into every codec in use.
+NUMBER_MAX = 2**53
+SLOTS_MAX = 10_000
+TEXT_MAX_CHARACTERS = 200
+Text = Annotated[str, Meta(min_length=1, max_length=TEXT_MAX_CHARACTERS)]
+WholeNumber = Annotated[int, Meta(ge=0, le=NUMBER_MAX)]
 
 
 class WireTarget(TypedDict):
@@ -56,16 +66,16 @@
 class WireServer(TypedDict):
     """Registry entry of a backend server, as reported by that server."""
 
-    service: str
-    address: str
-    zone: str
+    service: Text
+    address: Text
+    zone: Text
     # Number of requests that it runs at once.
-    concurrency: int
-    state: str
-    sequence: int
+    concurrency: Annotated[int, Meta(ge=1, le=SLOTS_MAX)]
+    state: Text
+    sequence: WholeNumber
     warmupLeftS: NotRequired[float]
     # Start time of its process in milliseconds since 1970.
-    born: NotRequired[int]
+    born: NotRequired[WholeNumber]
 
 
 class WireRow(TypedDict):
@@ -83,7 +93,7 @@
 
     rows: list[WireRow]
     # Version of the store that the rows reflect; a watch may continue after it.
-    ver: int
+    ver: WholeNumber
     hasMore: NotRequired[bool]
 
 
