--- a/burdockhitch/systems/direct/intake.py
+++ b/burdockhitch/systems/direct/intake.py
@@ -4,6 +4,7 @@
 from burdockhitch.clock import Instant
 from burdockhitch.errors import NotReadyError, RequestRefusedError, RouteNotFoundError
 from burdockhitch.systems.direct.budget import credit_retry_budget
+from burdockhitch.systems.direct.draining import may_outlast_grace
 from burdockhitch.systems.endings import abandon_request, advance_request, make_refusal
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.tables.prefix_routes import PrefixRouteRow
@@ -78,11 +79,15 @@
         detail = f"no route for {event.request.host} {request.path}"
         _refuse_arrival(world, event, RouteNotFoundError, detail)
         return
+    deadline_s = now.monotonic_s + min(route.timeout_s, event.remaining_s)
+    if may_outlast_grace(world, deadline_s, now):
+        detail = "this VM may end before the request does"
+        _refuse_arrival(world, event, NotReadyError, detail, RETRY_AFTER_S)
+        return
     sequence = next_sequence(world, "request")
     request_id = f"{world.local.vm_id}:{world.local.incarnation}:{sequence}"
     service = choose_service(world, route)
     credit_retry_budget(world, service, route.priority, route.is_idempotent, now)
-    deadline_s = now.monotonic_s + min(route.timeout_s, event.remaining_s)
     row = RequestRow(
         request_id=request_id,
         connection_id=event.connection_id,
