Send nothing more to a server that states that it is leaving

Nothing read the header.

The VM now remembers it by the answer, for the process that stated it, apart from its list of servers: a list that still names the server as ready (late, restored, copied from a VM that is behind, read whole) doesn't bring it back, nor does a later answer without the header. It ends with a process that started later. Each complete answer of the server counts, refusals and errors too; 421, interim and broken-off answers don't. Other VMs aren't told: each learns by its own first answer, and the registry tells them of the drain. If all servers of a service leave, callers are refused at once.

One place decides what a VM may send to a server now: sending_permission.py, a registry of conditions. It is asked when a server is selected, and again before the first byte of an attempt that waited for a connection (a VM that was paused meanwhile).

The adapter test of malformed limits now expects a statement that changes nothing, in full, where it expected no event: such an answer may state that its server leaves.

--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -96,12 +96,14 @@
         limit_per_s: Requests a second that it accepts from all VMs together; None if
             the answer states no limit.
         has_run: Whether the answer is the result of running the request.
+        is_leaving: Whether the server is about to end.
     """
 
     attempt_id: int
     server_id: str
     limit_per_s: float | None
     has_run: bool
+    is_leaving: bool = False
 
 
 class ServerProbed(NamedTuple):
--- a/burdockhitch/platform/backends.py
+++ b/burdockhitch/platform/backends.py
@@ -1,25 +1,19 @@
 """Requests to backend servers, and classification of their answers."""
 
-import re
 from typing import Any
 
-from burdockhitch import commands, events, log
+from burdockhitch import commands, events
 from burdockhitch.adapters.exchange import HttpAnswer, HttpConnection, HttpRequest
-from burdockhitch.adapters.headers import (
-    HeaderPairs,
-    drop_hop_by_hop,
-    find_header,
-)
-from burdockhitch.errors import DocumentError
+from burdockhitch.adapters.headers import drop_hop_by_hop, find_header
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import Answer
 from burdockhitch.platform import names
 from burdockhitch.platform.process import PlatformProcess, command_handlers
+from burdockhitch.platform.statements import decode_statement
 from burdockhitch.systems.direct.connecting import record_connected, record_connecting
+from burdockhitch.systems.direct.sending_permission import may_still_send
 
 STATUS_MISDIRECTED = 421
-DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
-DETAIL_MAX_CHARACTERS = 80
 # Headers of the caller's request that are not forwarded, because this program sets
 # or handles them itself.
 OVERWRITTEN_HEADERS = frozenset(
@@ -71,38 +65,24 @@
     return Answer(answer.status, drop_hop_by_hop(answer.headers), answer.body)
 
 
-def decode_limit(headers: HeaderPairs) -> float | None:
-    """Return the rate that an answer states as accepted, or None if it states none.
-
-    Raises:
-        DocumentError: If a value is not a decimal number.
-    """
-    texts = [value for name, value in headers if name == names.SERVER_LIMIT]
-    for text in texts:
-        if DECIMAL_NUMBER.fullmatch(text) is None:
-            raise DocumentError(names.SERVER_LIMIT, text[:DETAIL_MAX_CHARACTERS])
-    return min(map(float, texts), default=None)
-
-
 def _post_statement(
     process: PlatformProcess, command: commands.SendAttempt, answer: HttpAnswer
 ) -> None:
     """Post what the server states about itself, if the answer is certainly its own."""
     if not answer.is_identified or answer.status == STATUS_MISDIRECTED:
         return
-    try:
-        limit_per_s = decode_limit(answer.headers)
-    except DocumentError as error:
-        fields = {
-            "server": command.server_id,
-            "request_id": command.request_id,
-            "error": str(error),
-        }
-        log.write_event("WARNING", "statement_rejected", fields)
-        return
+    statement = decode_statement(answer, command.server_id)
     has_run = isinstance(classify_answer(answer, command.request.method), Answer)
+    is_limit_malformed = statement.has_limit_header and statement.limit_per_s is None
     process.ticker.post(
-        events.ServerStated(command.attempt_id, command.server_id, limit_per_s, has_run)
+        events.ServerStated(
+            command.attempt_id,
+            command.server_id,
+            statement.limit_per_s,
+            # A malformed limit doesn't show that there is none.
+            has_run and not is_limit_malformed,
+            statement.is_leaving,
+        )
     )
 
 
@@ -136,8 +116,11 @@
         if command.attempt_id not in process.attempts:
             connection.abort()
             return
-        remaining_s = deadline_s - clock.now().monotonic_s
-        if remaining_s <= 0:
+        now = clock.now()
+        remaining_s = deadline_s - now.monotonic_s
+        if remaining_s <= 0 or not may_still_send(
+            process.world, command.attempt_id, now
+        ):
             connection.abort()
             post_not_sent()
             return
--- a/burdockhitch/platform/names.py
+++ b/burdockhitch/platform/names.py
@@ -14,6 +14,9 @@
 STORE_ERA = "store-era"
 # Requests a second that a backend server accepts from all VMs together.
 SERVER_LIMIT = "server-limit"
+# Set to SERVER_LEAVING_SET in all answers of a backend server that is about to end.
+SERVER_LEAVING = "server-leaving"
+SERVER_LEAVING_SET = "1"
 
 READY_PATH = "/-/ready"
 RESOLVE_PATH = "/-/resolve"
--- /dev/null
+++ b/burdockhitch/platform/statements.py
@@ -0,0 +1,68 @@
+"""What backend servers state about themselves in the headers of their answers."""
+
+import re
+from collections.abc import Callable
+from typing import NamedTuple
+
+from burdockhitch import log
+from burdockhitch.adapters.exchange import HttpAnswer
+from burdockhitch.adapters.headers import HeaderPairs
+from burdockhitch.errors import DocumentError
+from burdockhitch.platform import names
+
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+DETAIL_MAX_CHARACTERS = 80
+
+
+class Statement(NamedTuple):
+    """What an answer states about its server.
+
+    Attributes:
+        limit_per_s: Requests a second that it accepts from all VMs together; None if
+            it states no limit.
+        has_limit_header: Whether the header is there, also with a malformed value.
+        is_leaving: Whether the server is about to end.
+    """
+
+    limit_per_s: float | None
+    has_limit_header: bool
+    is_leaving: bool
+
+
+def _decode_numbers(headers: HeaderPairs, header: str) -> list[float]:
+    """Return the values of a header that holds a decimal number.
+
+    Raises:
+        DocumentError: If a value is not a decimal number.
+    """
+    texts = [value for name, value in headers if name == header]
+    for text in texts:
+        if DECIMAL_NUMBER.fullmatch(text) is None:
+            raise DocumentError(header, text[:DETAIL_MAX_CHARACTERS])
+    return [float(text) for text in texts]
+
+
+def _decode_limit(answer: HttpAnswer) -> float | None:
+    """Return the lowest limit that an answer names."""
+    return min(_decode_numbers(answer.headers, names.SERVER_LIMIT), default=None)
+
+
+def _decode_or_log(
+    decode: Callable[[HttpAnswer], float | None], answer: HttpAnswer, server_id: str
+) -> float | None:
+    """Return a decoded number; None, and a line in the log, if it is malformed."""
+    try:
+        return decode(answer)
+    except DocumentError as error:
+        fields = {"server": server_id, "error": str(error)}
+        log.write_event("WARNING", "statement_rejected", fields)
+        return None
+
+
+def decode_statement(answer: HttpAnswer, server_id: str) -> Statement:
+    """Return what an answer states; a malformed value counts as not stated."""
+    return Statement(
+        limit_per_s=_decode_or_log(_decode_limit, answer, server_id),
+        has_limit_header=any(name == names.SERVER_LIMIT for name, _ in answer.headers),
+        is_leaving=(names.SERVER_LEAVING, names.SERVER_LEAVING_SET) in answer.headers,
+    )
--- a/burdockhitch/systems/direct/selection.py
+++ b/burdockhitch/systems/direct/selection.py
@@ -12,7 +12,7 @@
     has_retry_budget,
 )
 from burdockhitch.systems.direct.reports import utilisation
-from burdockhitch.systems.direct.sending_shares import may_send
+from burdockhitch.systems.direct.sending_permission import may_send
 from burdockhitch.systems.direct.server_estimates import (
     P_FAILING_SUSPECT,
     latency_ratio,
@@ -157,19 +157,18 @@
 def find_candidates(world: World, row: RequestRow, now: Instant) -> list[Candidate]:
     """Return the servers of a request's service that it may be sent to.
 
-    These are not draining, were not tried for it and have connections and, if they
-    state a limit, a request of this VM's share left. Servers that this VM avoids are
-    returned only if there is no other.
+    These accept requests of this VM, were not tried for it and have connections left.
+    Servers that this VM avoids are returned only if there is no other.
     """
     usable = []
     avoided = []
     busy_share = utilisation(world, row.service)
     connections_max = _connections_max(world, row.service)
     for server in world.backend_servers.select("service", row.service):
-        if server.is_draining or server.server_id in row.tried:
+        if server.server_id in row.tried:
             continue
         n_own = world.attempts.count("server_id", server.server_id)
-        if n_own >= connections_max or not may_send(world, server.server_id, now):
+        if n_own >= connections_max or not may_send(world, server, now):
             continue
         estimate = world.server_estimates.fetch(server.server_id)
         candidate = _make_candidate(world, server, estimate, busy_share, now)
--- /dev/null
+++ b/burdockhitch/systems/direct/sending_permission.py
@@ -0,0 +1,58 @@
+"""Decides whether this VM may send a request to a backend server now.
+
+Every condition must hold. Each is asked when a server is selected, and those that an
+answer may change also before the first byte of an attempt that waited for a connection.
+"""
+
+from collections.abc import Callable
+
+from burdockhitch.clock import Instant
+from burdockhitch.registry import Registry
+from burdockhitch.systems.direct.sending_shares import has_share
+from burdockhitch.tables.backend_servers import BackendServerRow
+from burdockhitch.world import World
+
+SendingCondition = Callable[[World, BackendServerRow, Instant], bool]
+sending_conditions: Registry[SendingCondition] = Registry("condition for sending")
+# Conditions on which a connection that is being opened doesn't count, as it was
+# counted when its attempt began.
+UNCOUNTED = ("listed", "not_leaving")
+
+
+@sending_conditions("listed")
+def is_listed_as_ready(world: World, server: BackendServerRow, now: Instant) -> bool:
+    """Return whether the registry doesn't list a server as draining."""
+    return not server.is_draining
+
+
+@sending_conditions("not_leaving")
+def has_not_stated_leaving(
+    world: World, server: BackendServerRow, now: Instant
+) -> bool:
+    """Return whether a server hasn't stated to this VM that it is leaving."""
+    return server.server_id not in world.leaving_servers
+
+
+@sending_conditions("limit")
+def is_within_limit(world: World, server: BackendServerRow, now: Instant) -> bool:
+    """Return whether this VM has a share left of the limit that a server states."""
+    return has_share(world, server.server_id, now)
+
+
+def may_send(world: World, server: BackendServerRow, now: Instant) -> bool:
+    """Return whether a request may be sent to a server, as far as the server says."""
+    return all(
+        sending_conditions[name](world, server, now) for name in sending_conditions
+    )
+
+
+def may_still_send(world: World, attempt_id: int, now: Instant) -> bool:
+    """Return whether an attempt may be sent that waited for a connection.
+
+    Meanwhile the server may have left, or stated that it does.
+    """
+    attempt = world.attempts.get(attempt_id)
+    server = world.backend_servers.get(attempt.server_id) if attempt else None
+    return server is not None and all(
+        sending_conditions[name](world, server, now) for name in UNCOUNTED
+    )
--- a/burdockhitch/systems/direct/sending_shares.py
+++ b/burdockhitch/systems/direct/sending_shares.py
@@ -117,8 +117,8 @@
     world.sending_shares.discard(server_id)
 
 
-def may_send(world: World, server_id: str, now: Instant) -> bool:
-    """Return whether this VM may send to a server now, by the limit that it states."""
+def has_share(world: World, server_id: str, now: Instant) -> bool:
+    """Return whether the limit that a server states leaves this VM a request now."""
     limit = world.server_limits.get(server_id)
     share = world.sending_shares.get(server_id)
     if limit is None or share is None:
--- a/burdockhitch/systems/direct/server_limits.py
+++ b/burdockhitch/systems/direct/server_limits.py
@@ -9,6 +9,7 @@
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import LimitStatement
 from burdockhitch.systems.direct.sending_shares import assign_shares
+from burdockhitch.systems.direct.server_notices import record_notices
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.tables.server_limits import ServerLimitRow
 from burdockhitch.world import World, count, log_event, pop_events
@@ -82,6 +83,7 @@
 def record_statements(world: World, now: Instant) -> None:
     """Record what servers state before their answers are handled."""
     for event in pop_events(world, events.ServerStated):
+        record_notices(world, event, now)
         server = world.backend_servers.get(event.server_id)
         if server is not None:
             _record_own_statement(world, event, server.service, now)
--- /dev/null
+++ b/burdockhitch/systems/direct/server_notices.py
@@ -0,0 +1,50 @@
+"""Follows which backend servers state that they are leaving.
+
+It binds this VM only, so no messages are sent about it. It ends with the process that
+stated it: whatever the registry or another VM says of that process later, it gets no
+more requests.
+"""
+
+from burdockhitch import events
+from burdockhitch.clock import Instant
+from burdockhitch.tables.backend_servers import BackendServerRow
+from burdockhitch.tables.server_notices import LeavingServerRow
+from burdockhitch.world import World, count, log_event
+
+# Time for which this VM remembers a server that leaves. Its process ends long before.
+LEAVING_MEMORY_S = 3600.0
+
+
+def _process_started_ms(world: World, server_id: str) -> int:
+    """Return the start of a server's process, also of one that was just removed."""
+    server = world.backend_servers.get(server_id)
+    if server is not None:
+        return server.process_started_ms
+    removed = world.removed_servers.get(server_id)
+    return removed.process_started_ms if removed else 0
+
+
+def _forget_old(world: World, now: Instant) -> None:
+    oldest = world.leaving_servers.first("stated_at_s")
+    while oldest and now.monotonic_s - oldest.stated_at_s > LEAVING_MEMORY_S:
+        world.leaving_servers.remove(oldest.server_id)
+        oldest = world.leaving_servers.first("stated_at_s")
+
+
+def record_notices(world: World, event: events.ServerStated, now: Instant) -> None:
+    """Record that a server stated that it is leaving."""
+    started_ms = _process_started_ms(world, event.server_id)
+    if event.is_leaving and event.server_id not in world.leaving_servers:
+        _forget_old(world, now)
+        world.leaving_servers.insert(
+            LeavingServerRow(event.server_id, started_ms, now.monotonic_s)
+        )
+        count(world, "servers_leaving")
+        log_event(world, "INFO", "server_leaving_stated", server=event.server_id)
+
+
+def forget_earlier_process(world: World, server: BackendServerRow) -> None:
+    """Forget what an earlier process of a listed server stated."""
+    row = world.leaving_servers.get(server.server_id)
+    if row is not None and row.process_started_ms < server.process_started_ms:
+        world.leaving_servers.remove(server.server_id)
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -7,6 +7,7 @@
 from burdockhitch.systems.direct.registry_changes import record_changes, record_gaps
 from burdockhitch.systems.direct.sending_shares import forget_share
 from burdockhitch.systems.direct.server_estimates import P_FAILING_STATIONARY
+from burdockhitch.systems.direct.server_notices import forget_earlier_process
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.backend_servers import BackendServerRow, ServiceSlotsRow
 from burdockhitch.tables.registry_views import (
@@ -127,6 +128,7 @@
 def _store_server(world: World, server: BackendServerRow, now: Instant) -> None:
     """Store a listed server; a new or restarted one gets a new estimate."""
     old = world.backend_servers.get(server.server_id)
+    forget_earlier_process(world, server)
     if _is_new_or_restarted(old, server):
         warm_up_until_s = now.monotonic_s + server.warm_up_remaining_s
         estimate = ServerEstimateRow(
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -29,6 +29,7 @@
     record_connected,
     record_connecting,
 )
+from burdockhitch.systems.direct.sending_permission import may_still_send
 from burdockhitch.systems.direct.snapshots import (
     is_sending_copies,
     make_snapshot,
@@ -146,7 +147,11 @@
         if has_run or outcome is AttemptFailure.SHED:
             limit_per_s = fleet.stated_limits.get(command.server_id)
             stated = events.ServerStated(
-                command.attempt_id, command.server_id, limit_per_s, has_run
+                command.attempt_id,
+                command.server_id,
+                limit_per_s,
+                has_run,
+                command.server_id in fleet.leaving_server_ids,
             )
             fleet.post(vm_id, stated)
         if has_run:
@@ -171,8 +176,14 @@
 
     def finish():
         if command.attempt_id in world.attempts and fleet.worlds.get(vm_id) is world:
-            record_connected(world, command.attempt_id)
-            send_request()
+            if may_still_send(world, command.attempt_id, fleet.clock.now()):
+                record_connected(world, command.attempt_id)
+                send_request()
+            else:
+                failure = events.BackendFailed(
+                    command.attempt_id, AttemptFailure.NOT_SENT
+                )
+                fleet.post(vm_id, failure)
 
     limit_s = min(fleet.connect_timeout_s, command.connect_timeout_s)
     if fleet.are_connects_limited and delay_s > limit_s:
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -161,6 +161,7 @@
         behaviour_by_server: Name of the behaviour of each fake server, by server ID.
         server_wait_s: Seconds that a request queues at a server, by server ID.
         stated_limits: Requests a second that a server states as accepted, by server ID.
+        leaving_server_ids: IDs of the servers that state that they are leaving.
         blocked_links: Pairs (VM, VM or server) between which nothing gets through in
             this direction.
         connect_delay_s: Seconds until a connection is established, by server ID.
@@ -190,6 +191,7 @@
         self.behaviour_by_server: dict[str, str] = {}
         self.server_wait_s: dict[str, float] = {}
         self.stated_limits: dict[str, float] = {}
+        self.leaving_server_ids: set[str] = set()
         self.blocked_links: set[tuple[str, str]] = set()
         self.connect_delay_s: dict[str, float] = {}
         self.connect_timeout_s = 0.25
--- a/burdockhitch/tests/test_platform_backends.py
+++ b/burdockhitch/tests/test_platform_backends.py
@@ -147,10 +147,42 @@
 )
 def test_a_malformed_limit_states_nothing(value):
     head = f"200 OK\n{SIGNED}\nserver-limit: {value}"
-    [outcome] = answer_attempt(head)
+    stated, outcome = answer_attempt(head)
+    assert stated == events.ServerStated(ATTEMPT_ID, "1", None, False)
     assert isinstance(outcome, events.BackendAnswered)
 
 
+NOT_RUN = "503 Full\nrequest-id: id\nnot-executed: 1"
+
+
+@pytest.mark.parametrize(
+    ("head", "is_leaving"),
+    [
+        (f"200 OK\n{SIGNED}\nServer-Leaving: 1", True),
+        (f"500 Failed\n{SIGNED}\nserver-leaving: 1", True),
+        (f"200 OK\n{SIGNED}\nserver-leaving: 0", False),
+        (f"200 OK\n{SIGNED}\nserver-leaving: yes", False),
+        (f"{NOT_RUN}\nserver-leaving: 1", True),
+    ],
+)
+def test_an_answer_tells_that_its_server_leaves(head, is_leaving):
+    stated, _outcome = answer_attempt(head)
+    assert stated.is_leaving == is_leaving
+
+
+@pytest.mark.parametrize("statement", [{"is_leaving": True}], ids=["leaving"])
+def test_nothing_is_sent_over_a_connection_established_after_a_server_stated_so(
+    statement,
+):
+    fleet = start_fleet(n_vms=1)
+    process, _command = start_attempt(fleet)
+    fleet.post("vm-0", events.ServerStated(1, "1", None, False, **statement))
+    assert connect(process.reactor).transport.value() == b""
+    assert process.ticker.events == [
+        events.BackendFailed(ATTEMPT_ID, events.AttemptFailure.NOT_SENT)
+    ]
+
+
 @pytest.mark.parametrize(
     "head",
     [
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -21,6 +21,7 @@
     revisions,
     routes,
     server_limits,
+    server_notices,
     services,
     timers,
     vms,
@@ -95,6 +96,7 @@
     recent_successes: Table[estimate_tables.RecentSuccessRow]
     server_limits: Table[server_limits.ServerLimitRow]
     sending_shares: Table[server_limits.SendingShareRow]
+    leaving_servers: Table[server_notices.LeavingServerRow]
     registry_views: Table[registry_views.RegistryViewRow]
     registry_changes: Table[registry_views.RegistryChangeRow]
     registry_gaps: Table[registry_views.RegistryGapRow]
@@ -180,6 +182,7 @@
         recent_successes=estimate_tables.make_recent_successes(),
         server_limits=server_limits.make_server_limits(),
         sending_shares=server_limits.make_sending_shares(),
+        leaving_servers=server_notices.make_leaving_servers(),
         registry_views=registry_views.make_registry_views(),
         registry_changes=registry_views.make_registry_changes(),
         registry_gaps=registry_views.make_registry_gaps(),
