Keep the pause that a refusing backend server asks for

BUDGET: between half a second after a 503 with Retry-After and the end of that time no more than two requests may reach the server from the VM that was refused. VMs avoided a server for 0.15 s after a refusal, and only while there was another.

It binds requests that wait, retries, exploration, and attempts that are connecting. If two values are given, the longer counts; what is no decimal number (a date, a negative or huge number, nothing) leaves a warning and no pause. While all servers of a service want one, callers are told to return after the first ends, within a third of the time that they have left.

--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -97,6 +97,7 @@
             the answer states no limit.
         has_run: Whether the answer is the result of running the request.
         is_leaving: Whether the server is about to end.
+        rest_s: Time for which it wants no more requests of this VM; 0 for none.
     """
 
     attempt_id: int
@@ -104,6 +105,7 @@
     limit_per_s: float | None
     has_run: bool
     is_leaving: bool = False
+    rest_s: float = 0.0
 
 
 class ServerProbed(NamedTuple):
--- a/burdockhitch/platform/backends.py
+++ b/burdockhitch/platform/backends.py
@@ -82,6 +82,7 @@
             # A malformed limit doesn't show that there is none.
             has_run and not is_limit_malformed,
             statement.is_leaving,
+            statement.rest_s,
         )
     )
 
--- a/burdockhitch/platform/statements.py
+++ b/burdockhitch/platform/statements.py
@@ -10,6 +10,7 @@
 from burdockhitch.errors import DocumentError
 from burdockhitch.platform import names
 
+STATUS_UNAVAILABLE = 503
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 DETAIL_MAX_CHARACTERS = 80
 
@@ -22,11 +23,13 @@
             it states no limit.
         has_limit_header: Whether the header is there, also with a malformed value.
         is_leaving: Whether the server is about to end.
+        rest_s: Time for which it wants no more requests of this VM; 0 for none.
     """
 
     limit_per_s: float | None
     has_limit_header: bool
     is_leaving: bool
+    rest_s: float
 
 
 def _decode_numbers(headers: HeaderPairs, header: str) -> list[float]:
@@ -47,6 +50,13 @@
     return min(_decode_numbers(answer.headers, names.SERVER_LIMIT), default=None)
 
 
+def _decode_rest(answer: HttpAnswer) -> float | None:
+    """Return the longest pause that a refusal asks for."""
+    if answer.status != STATUS_UNAVAILABLE:
+        return None
+    return max(_decode_numbers(answer.headers, names.RETRY_AFTER), default=None)
+
+
 def _decode_or_log(
     decode: Callable[[HttpAnswer], float | None], answer: HttpAnswer, server_id: str
 ) -> float | None:
@@ -65,4 +75,5 @@
         limit_per_s=_decode_or_log(_decode_limit, answer, server_id),
         has_limit_header=any(name == names.SERVER_LIMIT for name, _ in answer.headers),
         is_leaving=(names.SERVER_LEAVING, names.SERVER_LEAVING_SET) in answer.headers,
+        rest_s=_decode_or_log(_decode_rest, answer, server_id) or 0.0,
     )
--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -14,6 +14,7 @@
     selection_policies,
     would_miss_deadline,
 )
+from burdockhitch.systems.direct.sending_permission import shortest_pause_s
 from burdockhitch.systems.direct.sending_shares import spend_share
 from burdockhitch.systems.direct.server_estimates import OVERDUE_FACTOR, p_failing
 from burdockhitch.systems.endings import advance_request, make_refusal, refuse_request
@@ -105,7 +106,8 @@
     if not candidates:
         detail = f"no backend server of {row.service} can take the request"
         wait_s = mean_run_time_s(world, row.service)
-        after_s = retry_after_s(world, row, wait_s, now)
+        rest_s = shortest_pause_s(world, row.service, now)
+        after_s = retry_after_s(world, row, wait_s, now, rest_s)
         refusal = make_refusal(NoBackendServerError, detail, after_s)
         refuse_request(world, row, refusal, now)
         return
--- a/burdockhitch/systems/direct/return_times.py
+++ b/burdockhitch/systems/direct/return_times.py
@@ -20,7 +20,13 @@
 return_policies: Registry[ReturnPolicy] = Registry("return policy")
 
 
-def retry_after_s(world: World, row: RequestRow, wait_s: float, now: Instant) -> float:
+def retry_after_s(
+    world: World,
+    row: RequestRow,
+    wait_s: float,
+    now: Instant,
+    earliest_s: float = 0.0,
+) -> float:
     """Return the time after which the caller of a refused request may return.
 
     Args:
@@ -28,10 +34,11 @@
         row: Request that was refused.
         wait_s: Expected wait for a slot, if it had been sent.
         now: Current time.
+        earliest_s: Time after which the first server accepts requests again.
     """
     policy = return_policies[world.settings.policies.returns]
     limit_s = REMAINING_FRACTION_MAX * max(0.0, row.deadline_s - now.monotonic_s)
-    return min(limit_s, policy(world, row, wait_s, now))
+    return min(limit_s, earliest_s + policy(world, row, wait_s, now))
 
 
 @return_policies("fixed")
--- a/burdockhitch/systems/direct/sending_permission.py
+++ b/burdockhitch/systems/direct/sending_permission.py
@@ -16,7 +16,7 @@
 sending_conditions: Registry[SendingCondition] = Registry("condition for sending")
 # Conditions on which a connection that is being opened doesn't count, as it was
 # counted when its attempt began.
-UNCOUNTED = ("listed", "not_leaving")
+UNCOUNTED = ("listed", "not_leaving", "not_resting")
 
 
 @sending_conditions("listed")
@@ -33,6 +33,13 @@
     return server.server_id not in world.leaving_servers
 
 
+@sending_conditions("not_resting")
+def is_rested(world: World, server: BackendServerRow, now: Instant) -> bool:
+    """Return whether a server wants no pause of this VM, or none any more."""
+    row = world.resting_servers.get(server.server_id)
+    return row is None or row.until_s <= now.monotonic_s
+
+
 @sending_conditions("limit")
 def is_within_limit(world: World, server: BackendServerRow, now: Instant) -> bool:
     """Return whether this VM has a share left of the limit that a server states."""
@@ -49,10 +56,22 @@
 def may_still_send(world: World, attempt_id: int, now: Instant) -> bool:
     """Return whether an attempt may be sent that waited for a connection.
 
-    Meanwhile the server may have left, or stated that it does.
+    Meanwhile the server may have left, stated that it does, or asked for a pause.
     """
     attempt = world.attempts.get(attempt_id)
     server = world.backend_servers.get(attempt.server_id) if attempt else None
     return server is not None and all(
         sending_conditions[name](world, server, now) for name in UNCOUNTED
     )
+
+
+def shortest_pause_s(world: World, service: str, now: Instant) -> float:
+    """Return the time until the first pause of a service's servers ends, 0 for none."""
+    ends_s = [
+        world.resting_servers.fetch(server.server_id).until_s - now.monotonic_s
+        for server in world.backend_servers.select("service", service)
+        if server.server_id in world.resting_servers
+        and has_not_stated_leaving(world, server, now)
+        and is_listed_as_ready(world, server, now)
+    ]
+    return max(0.0, min(ends_s, default=0.0))
--- a/burdockhitch/tables/server_notices.py
+++ b/burdockhitch/tables/server_notices.py
@@ -24,6 +24,25 @@
     stated_at_s: float
 
 
+class RestingServerRow(NamedTuple):
+    """A backend server that refused a request of this VM, and said for how long.
+
+    Attributes:
+        server_id: Backend server.
+        process_started_ms: Start of the process that refused.
+        until_s: Monotonic time until which it wants no requests of this VM.
+    """
+
+    server_id: str
+    process_started_ms: int
+    until_s: float
+
+
 def make_leaving_servers() -> Table[LeavingServerRow]:
     """Return an empty table of servers that stated that they are leaving."""
     return Table(LeavingServerRow, key="server_id", sorted_fields=("stated_at_s",))
+
+
+def make_resting_servers() -> Table[RestingServerRow]:
+    """Return an empty table of servers that want no requests for a time."""
+    return Table(RestingServerRow, key="server_id")
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -152,6 +152,7 @@
                 limit_per_s,
                 has_run,
                 command.server_id in fleet.leaving_server_ids,
+                0.0 if has_run else fleet.stated_rests.get(command.server_id, 0.0),
             )
             fleet.post(vm_id, stated)
         if has_run:
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -162,6 +162,8 @@
         server_wait_s: Seconds that a request queues at a server, by server ID.
         stated_limits: Requests a second that a server states as accepted, by server ID.
         leaving_server_ids: IDs of the servers that state that they are leaving.
+        stated_rests: Seconds for which a server that refuses wants no requests of a
+            VM, by server ID.
         blocked_links: Pairs (VM, VM or server) between which nothing gets through in
             this direction.
         connect_delay_s: Seconds until a connection is established, by server ID.
@@ -192,6 +194,7 @@
         self.server_wait_s: dict[str, float] = {}
         self.stated_limits: dict[str, float] = {}
         self.leaving_server_ids: set[str] = set()
+        self.stated_rests: dict[str, float] = {}
         self.blocked_links: set[tuple[str, str]] = set()
         self.connect_delay_s: dict[str, float] = {}
         self.connect_timeout_s = 0.25
--- a/burdockhitch/tests/test_direct_server_notices.py
+++ b/burdockhitch/tests/test_direct_server_notices.py
@@ -1,4 +1,4 @@
-"""Tests that a VM keeps to what servers state of leaving."""
+"""Tests that a VM keeps to what servers state of leaving and of pauses."""
 
 import pytest
 
@@ -11,8 +11,11 @@
 from burdockhitch.tests.direct_fakes import make_route, make_server, start_fleet
 from burdockhitch.world import start_platform_operation
 
-# The users' bound on requests after a server stated that it leaves.
+# The users' bounds: nothing later than this after a server stated that it leaves, and
+# at most so many requests between this time and the end of a pause.
 DRAIN_S = 2.0
+PAUSE_FROM_S = 0.5
+IN_PAUSE_MAX = 2
 SERVER = "1"
 OLD = {"process_started_ms": 5, "sequence": 3}
 
@@ -148,9 +151,65 @@
     assert fleet.status(connection) == "NoBackendServer"
 
 
+PAUSES = {"short": 1.0, "long": 8.0, "fraction": 2.5, "too long to keep": 1e9}
+
+
+@pytest.mark.parametrize("connect_delay_s", [0.0, 0.2])
+@pytest.mark.parametrize("n_servers", [1, 3])
+@pytest.mark.parametrize("rest_s", PAUSES.values(), ids=PAUSES)
+def test_a_server_gets_no_requests_of_a_vm_in_the_pause_that_it_asked_for(
+    rest_s, n_servers, connect_delay_s
+):
+    fleet = start(n_servers, n_tries_max=3)
+    fleet.connect_delay_s[SERVER] = connect_delay_s
+    fleet.behaviour_by_server[SERVER] = "shed"
+    fleet.stated_rests[SERVER] = rest_s
+    send_for(fleet, 12.0, 0.02)
+    times_s = [a.at_s for a in fleet.sent_attempts if a.server_id == SERVER]
+    assert times_s
+    for at_s in times_s:
+        in_pause = [
+            later_s
+            for later_s in times_s
+            if at_s + PAUSE_FROM_S < later_s < at_s + min(rest_s, 12.0)
+        ]
+        assert len(in_pause) <= IN_PAUSE_MAX
+
+
+def test_a_server_is_used_again_after_its_pause():
+    fleet = start()
+    fleet.behaviour_by_server[SERVER] = "shed"
+    fleet.stated_rests[SERVER] = 2.0
+    send_for(fleet, 1.0)
+    fleet.behaviour_by_server[SERVER] = "ok"
+    fleet.stated_rests.clear()
+    fleet.run(2.0)
+    rested_at_s = fleet.clock.elapsed_s
+    send_for(fleet, 3.0)
+    assert sent_after(fleet, rested_at_s) > 0
+
+
+@pytest.mark.parametrize(
+    ("rests", "remaining_s", "first_s"),
+    [({"1": 1.0, "2": 5.0}, 9.0, 1.0), ({"1": 4.0, "2": 2.0}, 30.0, 2.0)],
+)
+def test_callers_return_when_the_first_pause_ends(rests, remaining_s, first_s):
+    fleet = start(n_servers=2, n_tries_max=1, timeout_s=60.0)
+    fleet.behaviour_by_server = {"1": "shed", "2": "shed"}
+    fleet.stated_rests = rests
+    for _number in range(20):
+        fleet.send("vm-0")
+    fleet.run(0.1)
+    connection = fleet.send("vm-0", remaining_s=remaining_s)
+    refusal = fleet.caller_replies[connection].command.refusal
+    assert refusal.error == "NoBackendServer"
+    assert first_s - 0.2 <= refusal.retry_after_s <= remaining_s / 3
+
+
 def test_the_order_of_the_conditions_for_sending_is_from_cheap_to_dear():
     assert sending_conditions.names() == (
         "listed",
         "not_leaving",
+        "not_resting",
         "limit",
     )
--- a/burdockhitch/tests/test_platform_backends.py
+++ b/burdockhitch/tests/test_platform_backends.py
@@ -156,21 +156,34 @@
 
 
 @pytest.mark.parametrize(
-    ("head", "is_leaving"),
+    ("head", "is_leaving", "rest_s"),
     [
-        (f"200 OK\n{SIGNED}\nServer-Leaving: 1", True),
-        (f"500 Failed\n{SIGNED}\nserver-leaving: 1", True),
-        (f"200 OK\n{SIGNED}\nserver-leaving: 0", False),
-        (f"200 OK\n{SIGNED}\nserver-leaving: yes", False),
-        (f"{NOT_RUN}\nserver-leaving: 1", True),
+        (f"200 OK\n{SIGNED}\nServer-Leaving: 1", True, 0.0),
+        (f"500 Failed\n{SIGNED}\nserver-leaving: 1", True, 0.0),
+        (f"{NOT_RUN}\nserver-leaving: 1\nretry-after: 2", True, 2.0),
+        (f"200 OK\n{SIGNED}\nserver-leaving: 0", False, 0.0),
+        (f"200 OK\n{SIGNED}\nserver-leaving: yes", False, 0.0),
+        (f"200 OK\n{SIGNED}\nretry-after: 3", False, 0.0),
+        (NOT_RUN, False, 0.0),
+        (f"{NOT_RUN}\nretry-after: 0.25", False, 0.25),
+        (f"{NOT_RUN}\nretry-after: 1\nretry-after: 4", False, 4.0),
+        (f"{NOT_RUN}\nretry-after: -1", False, 0.0),
+        (f"{NOT_RUN}\nretry-after: Fri, 31 Dec 1999 23:59:59 GMT", False, 0.0),
+        (f"{NOT_RUN}\nretry-after: nan", False, 0.0),
+        (f"{NOT_RUN}\nretry-after: {'9' * 400}", False, 0.0),
+        (f"{NOT_RUN}\nretry-after:", False, 0.0),
     ],
 )
-def test_an_answer_tells_that_its_server_leaves(head, is_leaving):
+def test_an_answer_tells_that_its_server_leaves_or_wants_a_pause(
+    head, is_leaving, rest_s
+):
     stated, _outcome = answer_attempt(head)
-    assert stated.is_leaving == is_leaving
+    assert (stated.is_leaving, stated.rest_s) == (is_leaving, rest_s)
 
 
-@pytest.mark.parametrize("statement", [{"is_leaving": True}], ids=["leaving"])
+@pytest.mark.parametrize(
+    "statement", [{"is_leaving": True}, {"rest_s": 5.0}], ids=["leaving", "pause"]
+)
 def test_nothing_is_sent_over_a_connection_established_after_a_server_stated_so(
     statement,
 ):
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -97,6 +97,7 @@
     server_limits: Table[server_limits.ServerLimitRow]
     sending_shares: Table[server_limits.SendingShareRow]
     leaving_servers: Table[server_notices.LeavingServerRow]
+    resting_servers: Table[server_notices.RestingServerRow]
     registry_views: Table[registry_views.RegistryViewRow]
     registry_changes: Table[registry_views.RegistryChangeRow]
     registry_gaps: Table[registry_views.RegistryGapRow]
@@ -183,6 +184,7 @@
         server_limits=server_limits.make_server_limits(),
         sending_shares=server_limits.make_sending_shares(),
         leaving_servers=server_notices.make_leaving_servers(),
+        resting_servers=server_notices.make_resting_servers(),
         registry_views=registry_views.make_registry_views(),
         registry_changes=registry_views.make_registry_changes(),
         registry_gaps=registry_views.make_registry_gaps(),
