Let random sequences state limits, pauses and that servers leave

Four more steps: a server states that it leaves, a limit, a pause with each refusal, or is replaced by a new process. The fakes record when the first byte of an attempt left.

--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -40,6 +40,7 @@
     make_version,
     number_of,
 )
+from burdockhitch.tests.direct_bounds import Statement
 
 MESSAGE_DELAY_S = 0.001
 REGISTRY_DELAY_S = 0.004
@@ -93,11 +94,22 @@
 
 
 class IssuedAttempt(NamedTuple):
-    """An attempt that a VM issued to a fake server, and when on the fake clock."""
+    """An attempt of a VM at a fake server.
+
+    Attributes:
+        request_id: The caller's request.
+        server_id: Backend server.
+        at_s: When it was issued on the fake clock; in the list of sent attempts, when
+            its first byte left.
+        vm: ID and incarnation of the VM.
+        server: ID and number of the process of the server.
+    """
 
     request_id: str
     server_id: str
     at_s: float
+    vm: tuple[str, int]
+    server: tuple[str, int]
 
 
 class CallerReply(NamedTuple):
@@ -125,8 +137,10 @@
 @handlers("SendAttempt")
 def handle_attempt(fleet, vm_id, command):
     """Let a fake server handle an attempt, and post its outcome to the VM."""
+    vm = (vm_id, fleet.worlds[vm_id].local.incarnation)
+    server = (command.server_id, fleet.process_numbers[command.server_id])
     attempt = IssuedAttempt(
-        command.request_id, command.server_id, fleet.clock.elapsed_s
+        command.request_id, command.server_id, fleet.clock.elapsed_s, vm, server
     )
     fleet.issued_attempts.append(attempt)
     behaviour = fleet.behaviour_by_server[command.server_id]
@@ -136,7 +150,7 @@
     def send_request():
         delay_s, is_executed, outcome = behaviours[behaviour](fleet, command)
         if outcome is not AttemptFailure.NOT_SENT:
-            fleet.sent_attempts.append(attempt)
+            fleet.sent_attempts.append(attempt._replace(at_s=fleet.clock.elapsed_s))
         if is_executed:
             fleet.executed_attempts.append(attempt)
         if delay_s is not None:
@@ -145,22 +159,34 @@
     def end_attempt(outcome):
         has_run = isinstance(outcome, Answer)
         if has_run or outcome is AttemptFailure.SHED:
-            limit_per_s = fleet.stated_limits.get(command.server_id)
-            stated = events.ServerStated(
-                command.attempt_id,
-                command.server_id,
-                limit_per_s,
-                has_run,
-                command.server_id in fleet.leaving_server_ids,
-                0.0 if has_run else fleet.stated_rests.get(command.server_id, 0.0),
-            )
-            fleet.post(vm_id, stated)
+            state_with_answer(has_run)
         if has_run:
             event = events.BackendAnswered(command.attempt_id, outcome)
         else:
             event = events.BackendFailed(command.attempt_id, outcome)
         fleet.post(vm_id, event)
 
+    def state_with_answer(has_run):
+        limit_per_s = fleet.stated_limits.get(command.server_id)
+        is_leaving = command.server_id in fleet.leaving_server_ids
+        rest_s = 0.0 if has_run else fleet.stated_rests.get(command.server_id, 0.0)
+        world = fleet.worlds.get(vm_id)
+        if world is None or command.attempt_id not in world.attempts:
+            return
+        at_s = fleet.clock.elapsed_s
+        fleet.statements.append(
+            Statement(vm, server, at_s, limit_per_s, is_leaving, rest_s)
+        )
+        event = events.ServerStated(
+            command.attempt_id,
+            command.server_id,
+            limit_per_s,
+            has_run,
+            is_leaving,
+            rest_s,
+        )
+        fleet.post(vm_id, event)
+
     connect_delay_s = fleet.connect_delay_s.get(command.server_id, 0.0)
     if (vm_id, command.server_id) in fleet.blocked_links:
         connect_delay_s = math.inf
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -26,6 +26,7 @@
     era_of,
     number_of,
 )
+from burdockhitch.tests.direct_bounds import Statement
 from burdockhitch.tests.direct_edges import CallerReply, IssuedAttempt, handlers
 from burdockhitch.tests.fakes import FakeClock
 from burdockhitch.world import World, make_world, post_event
@@ -162,6 +163,8 @@
         server_wait_s: Seconds that a request queues at a server, by server ID.
         stated_limits: Requests a second that a server states as accepted, by server ID.
         leaving_server_ids: IDs of the servers that state that they are leaving.
+        process_numbers: Number of each server's current process, by server ID.
+        statements: What servers stated in answers that VMs got.
         stated_rests: Seconds for which a server that refuses wants no requests of a
             VM, by server ID.
         blocked_links: Pairs (VM, VM or server) between which nothing gets through in
@@ -195,6 +198,8 @@
         self.stated_limits: dict[str, float] = {}
         self.leaving_server_ids: set[str] = set()
         self.stated_rests: dict[str, float] = {}
+        self.process_numbers: dict[str, int] = {}
+        self.statements: list[Statement] = []
         self.blocked_links: set[tuple[str, str]] = set()
         self.connect_delay_s: dict[str, float] = {}
         self.connect_timeout_s = 0.25
@@ -217,7 +222,9 @@
 
     def add_server(self, server_id: str, behaviour: str = "ok", **fields: Any) -> None:
         """Add or replace a backend server's entry in the registry."""
-        self.registry.servers[server_id] = make_server(server_id, **fields)
+        server = make_server(server_id, **fields)
+        self.registry.servers[server_id] = server
+        self.process_numbers[server_id] = server.process_started_ms
         self.behaviour_by_server[server_id] = behaviour
         self.registry.change(RegistryPart.SERVERS, server_id)
 
--- a/burdockhitch/tests/direct_steps.py
+++ b/burdockhitch/tests/direct_steps.py
@@ -2,7 +2,8 @@
 
 A sequence checks that no configuration is reverted, that no request runs twice
 where it must not or is refused as not run although it ran, that retries stay within
-the budget, and that no request is left open or sent to a draining server.
+the budget, that no request is left open or sent to a draining server, and that servers
+that state a limit, a pause or that they leave get no more requests than that allows.
 """
 
 import random
@@ -15,6 +16,11 @@
 from burdockhitch.registry import Registry
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.tables.registry_views import RegistryPart
+from burdockhitch.tests.direct_bounds import (
+    find_broken_pauses,
+    find_exceeded_limits,
+    find_sends_to_leaving,
+)
 from burdockhitch.tests.direct_edges import behaviours
 from burdockhitch.tests.direct_fakes import make_route, start_fleet
 
@@ -51,6 +57,7 @@
         settings: Settings by VM ID, for restarts.
         last_versions: Last configuration version seen, by VM ID and incarnation.
         draining_server_ids: IDs of the servers that the registry lists as draining.
+        cut_vm_ids: IDs of the VMs of which a link was cut.
         n_requests: Requests that callers sent.
         at_most_once_ids: IDs of the requests that must not run twice.
         violations: A text for each violation found.
@@ -66,6 +73,7 @@
         }
         self.last_versions: dict[tuple[str, int], int] = {}
         self.draining_server_ids: set[str] = set()
+        self.cut_vm_ids: set[str] = set()
         self.n_requests = 0
         self.at_most_once_ids: set[str] = set()
         self.violations: list[str] = []
@@ -113,6 +121,18 @@
         n_retries = sum(n_sends - 1 for n_sends in sends.values())
         if n_retries > n_retries_max:
             self.violations.append(f"{n_retries} retries exceed the retry budget")
+        self.check_statements()
+
+    def check_statements(self) -> None:
+        """Record the requests that servers got against what they had stated."""
+        sent, statements = self.fleet.sent_attempts, self.fleet.statements
+        for attempt in find_sends_to_leaving(sent, statements):
+            self.violations.append(f"{attempt} was sent to a leaving server")
+        for statement in find_broken_pauses(sent, statements):
+            self.violations.append(f"the pause of {statement} was broken")
+        exceeded = find_exceeded_limits(sent, statements, self.cut_vm_ids)
+        for server, n_sent in exceeded.items():
+            self.violations.append(f"{server} got {n_sent} requests, over its limit")
 
 
 step_kinds: Registry[Callable[[DirectSequence, int, int], None]] = Registry(
@@ -156,6 +176,8 @@
     fleet.connect_delay_s.clear()
     fleet.loss_ratio = 0.0
     fleet.registry.refused_vms.clear()
+    fleet.leaving_server_ids.clear()
+    fleet.stated_rests.clear()
 
 
 @step_kinds("cut")
@@ -164,6 +186,7 @@
     vm_id = sequence.running_vm_id(first)
     other = sequence.server_id(second) if second % 2 else sequence.running_vm_id(second)
     sequence.fleet.blocked_links.add((vm_id, other))
+    sequence.cut_vm_ids |= {vm_id, other}
 
 
 @step_kinds("lose")
@@ -198,12 +221,53 @@
     is_draining = second % 2 == 0
     behaviour = sequence.fleet.behaviour_by_server[server_id]
     zone = ZONES[(int(server_id) - 1) % len(ZONES)]
-    sequence.fleet.add_server(server_id, behaviour, zone=zone, is_draining=is_draining)
+    number = sequence.fleet.process_numbers[server_id]
+    sequence.fleet.add_server(
+        server_id,
+        behaviour,
+        zone=zone,
+        is_draining=is_draining,
+        process_started_ms=number,
+    )
     sequence.draining_server_ids.discard(server_id)
     if is_draining:
         sequence.draining_server_ids.add(server_id)
 
 
+@step_kinds("state_leaving")
+def state_leaving(sequence, first, second):
+    """Let a server state that it leaves, in all its answers."""
+    sequence.fleet.leaving_server_ids.add(sequence.server_id(first))
+
+
+@step_kinds("state_limit")
+def state_limit(sequence, first, second):
+    """Let a server state a limit, which doesn't change once it is stated."""
+    sequence.fleet.stated_limits.setdefault(sequence.server_id(first), second / 2)
+
+
+@step_kinds("state_pause")
+def refuse_with_pause(sequence, first, second):
+    """Let a server refuse all requests, and ask for a pause."""
+    server_id = sequence.server_id(first)
+    sequence.fleet.behaviour_by_server[server_id] = "shed"
+    sequence.fleet.stated_rests[server_id] = 0.4 * second
+
+
+@step_kinds("replace")
+def replace_process(sequence, first, second):
+    """End a server's process, and start another that states nothing."""
+    server_id = sequence.server_id(first)
+    fleet = sequence.fleet
+    fleet.leaving_server_ids.discard(server_id)
+    fleet.stated_rests.pop(server_id, None)
+    fleet.stated_limits.pop(server_id, None)
+    zone = ZONES[(int(server_id) - 1) % len(ZONES)]
+    number = fleet.process_numbers[server_id] + 1
+    fleet.add_server(server_id, zone=zone, process_started_ms=number)
+    sequence.draining_server_ids.discard(server_id)
+
+
 @step_kinds("restart")
 def kill_and_restart_vm(sequence, first, second):
     """Kill a VM and start it again, unless fewer than three are running."""
