Count what a server states for the process that the request was sent to

An answer of a server's earlier process that comes after a new process of the same id is listed would have made the new one count as leaving, or resting, on that VM for up to an hour. The attempt now holds the process it was sent to. test_a_late_answer_of_an_earlier_process_says_nothing_of_the_next fails without it.

--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -62,6 +62,7 @@
             row.service,
             now.monotonic_s,
             choice.wait_s,
+            process_started_ms=server.process_started_ms,
         )
     )
     count(world, "attempts", "service", row.service)
--- a/burdockhitch/systems/direct/server_limits.py
+++ b/burdockhitch/systems/direct/server_limits.py
@@ -83,9 +83,16 @@
 def record_statements(world: World, now: Instant) -> None:
     """Record what servers state before their answers are handled."""
     for event in pop_events(world, events.ServerStated):
-        record_notices(world, event, now)
+        attempt = world.attempts.get(event.attempt_id)
         server = world.backend_servers.get(event.server_id)
-        if server is not None:
+        if attempt is None:
+            continue
+        started_ms = attempt.process_started_ms
+        if server is None:
+            # It was removed meanwhile, but may be listed again.
+            record_notices(world, event, started_ms, now)
+        elif server.process_started_ms <= started_ms:
+            record_notices(world, event, started_ms, now)
             _record_own_statement(world, event, server.service, now)
 
 
--- a/burdockhitch/systems/direct/server_notices.py
+++ b/burdockhitch/systems/direct/server_notices.py
@@ -17,15 +17,6 @@
 LEAVING_MEMORY_S = 3600.0
 
 
-def _process_started_ms(world: World, server_id: str) -> int:
-    """Return the start of a server's process, also of one that was just removed."""
-    server = world.backend_servers.get(server_id)
-    if server is not None:
-        return server.process_started_ms
-    removed = world.removed_servers.get(server_id)
-    return removed.process_started_ms if removed else 0
-
-
 def _forget_old(world: World, now: Instant) -> None:
     oldest = world.leaving_servers.first("stated_at_s")
     while oldest and now.monotonic_s - oldest.stated_at_s > LEAVING_MEMORY_S:
@@ -33,9 +24,17 @@
         oldest = world.leaving_servers.first("stated_at_s")
 
 
-def record_notices(world: World, event: events.ServerStated, now: Instant) -> None:
-    """Record that a server stated that it is leaving, or for how long to pause."""
-    started_ms = _process_started_ms(world, event.server_id)
+def record_notices(
+    world: World, event: events.ServerStated, started_ms: int, now: Instant
+) -> None:
+    """Record that a server stated that it is leaving, or for how long to pause.
+
+    Args:
+        world: Tables of this VM.
+        event: The statement.
+        started_ms: Start of the process that made it.
+        now: Time of the answer.
+    """
     if event.is_leaving and event.server_id not in world.leaving_servers:
         _forget_old(world, now)
         world.leaving_servers.insert(
--- a/burdockhitch/tables/requests.py
+++ b/burdockhitch/tables/requests.py
@@ -114,6 +114,8 @@
             slot of the server.
         is_connecting: Whether its connection is not established yet, so that no byte
             of the request has left this VM.
+        process_started_ms: Start of the server's process when it was selected; see
+            ``BackendServerRow``.
     """
 
     attempt_id: int
@@ -123,6 +125,7 @@
     started_at_s: float
     wait_s: float = 0.0
     is_connecting: bool = False
+    process_started_ms: int = 0
 
 
 class UnknownOutcomeRow(NamedTuple):
--- a/burdockhitch/tests/test_direct_server_notices.py
+++ b/burdockhitch/tests/test_direct_server_notices.py
@@ -132,14 +132,33 @@
 
 
 def test_a_server_removed_before_its_answer_came_still_counts_as_leaving():
-    fleet = start()
+    fleet = start(is_idempotent=False)
+    fleet.server_wait_s[SERVER] = 1.0
+    send_for(fleet, 0.6)
+    assert sent_after(fleet, 0.0)
+    fleet.leaving_server_ids.add(SERVER)
     fleet.remove_server(SERVER)
-    fleet.run(1.0)
-    fleet.post("vm-0", events.ServerStated(1, SERVER, None, True, True))
-    stated_at_s = fleet.clock.elapsed_s
+    fleet.run(2.0)
+    listed_at_s = fleet.clock.elapsed_s
     fleet.add_server(SERVER, **{**OLD, "sequence": 8})
     send_for(fleet, 3.0)
-    assert sent_after(fleet, stated_at_s) == 0
+    assert sent_after(fleet, listed_at_s) == 0
+
+
+def test_a_late_answer_of_an_earlier_process_says_nothing_of_the_next():
+    fleet = start(is_idempotent=False)
+    fleet.server_wait_s[SERVER] = 1.0
+    send_for(fleet, 0.6)
+    assert sent_after(fleet, 0.0)
+    fleet.leaving_server_ids.add(SERVER)
+    fleet.add_server(SERVER, process_started_ms=6, sequence=1)
+    fleet.run(2.0)
+    fleet.leaving_server_ids.clear()
+    fleet.server_wait_s.clear()
+    assert not len(fleet.worlds["vm-0"].leaving_servers)
+    listed_at_s = fleet.clock.elapsed_s
+    send_for(fleet, 12.0)
+    assert sent_after(fleet, listed_at_s) > 0
 
 
 @pytest.mark.parametrize("is_idempotent", [True, False])
--- a/burdockhitch/tests/test_platform_backends.py
+++ b/burdockhitch/tests/test_platform_backends.py
@@ -189,7 +189,7 @@
 ):
     fleet = start_fleet(n_vms=1)
     process, _command = start_attempt(fleet)
-    fleet.post("vm-0", events.ServerStated(1, "1", None, False, **statement))
+    fleet.post("vm-0", events.ServerStated(ATTEMPT_ID, "1", None, False, **statement))
     assert connect(process.reactor).transport.value() == b""
     assert process.ticker.events == [
         events.BackendFailed(ATTEMPT_ID, events.AttemptFailure.NOT_SENT)
