Use a server again that had only been silent when the store was restored

A server that is cut off from the store lapses, and is listed as it was by a copy from before.

Such a server now counts as draining for 6 s, in which the platform removes the entries of servers that don't write (three heartbeats). Copies tell how long is left.

--- a/burdockhitch/direct_messages.py
+++ b/burdockhitch/direct_messages.py
@@ -40,6 +40,18 @@
     removal_in_s: float
 
 
+class SuspendedServer(NamedTuple):
+    """A backend server that counts as draining for a while after a restore.
+
+    Attributes:
+        server_id: Backend server.
+        ready_in_s: Time until it is used, unless it is removed before.
+    """
+
+    server_id: str
+    ready_in_s: float
+
+
 class ServersCopy(NamedTuple):
     """A list of backend servers for a VM that holds an older one.
 
@@ -52,6 +64,7 @@
         from_version: Version of the other VM, to which alone the changes can be
             applied; 0 if ``is_complete``.
         gaps: Gaps between the two versions in what the sender knows of changes.
+        suspended: All servers that count as draining for a while.
     """
 
     version: int
@@ -61,6 +74,7 @@
     missing: tuple[MissingServer, ...]
     from_version: int
     gaps: tuple[RegistryGap, ...]
+    suspended: tuple[SuspendedServer, ...] = ()
 
 
 class Snapshot(NamedTuple):
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -1,7 +1,7 @@
 """Maintains the table of backend servers that the registry lists."""
 
 from burdockhitch.clock import Instant
-from burdockhitch.direct_messages import MissingServer
+from burdockhitch.direct_messages import MissingServer, SuspendedServer
 from burdockhitch.systems.direct.configuration import record_version, registry_view
 from burdockhitch.systems.direct.membership import schedule_row_write
 from burdockhitch.systems.direct.registry_changes import record_changes, record_gaps
@@ -15,6 +15,7 @@
     RegistryGap,
     RegistryPart,
     RemovedServerRow,
+    SuspendedServerRow,
     era_of,
 )
 from burdockhitch.tables.server_estimates import ServerEstimateRow
@@ -28,6 +29,10 @@
 # Time for which this VM remembers servers that left, for a restored list that holds
 # them: the copies from which the platform's store is restored are some seconds old.
 REMOVED_MEMORY_S = 60.0
+# Time for which a server in a restored list counts as draining that this VM had seen
+# leave: the platform removes entries after three heartbeats of silence, and readers and
+# copies need a second.
+SUSPENDED_S = 6.0
 # Source of a list that this VM read itself; others are IDs of VMs.
 PLATFORM_SOURCE = "platform"
 
@@ -79,22 +84,63 @@
         oldest = world.removed_servers.first("removed_at_s")
 
 
-def _drop_outdated(
+def _correct_restored(
     world: World, servers: tuple[BackendServerRow, ...], now: Instant
-) -> tuple[BackendServerRow, ...]:
-    """Return a restored list as this VM knows it better.
+) -> tuple[tuple[BackendServerRow, ...], tuple[SuspendedServer, ...]]:
+    """Return a restored list as this VM knows it better, and the servers to suspend.
 
-    The copy shows servers as they were. Those that have left since are dropped, and
-    those that this VM knows by a later entry, as one that drains, stay as they are.
+    The copy shows servers as they were. Those that have left since count as draining,
+    and those that this VM knows by a later entry stay as they are.
     """
-    kept = []
+    corrected = []
+    suspended = []
     for server in servers:
         held = world.backend_servers.get(server.server_id)
         if not _is_outdated(world, server, now):
-            kept.append(server)
+            corrected.append(server)
         elif held is not None:
-            kept.append(held)
-    return tuple(kept)
+            corrected.append(held)
+        else:
+            corrected.append(server._replace(is_draining=True))
+            if not server.is_draining:
+                suspended.append(SuspendedServer(server.server_id, SUSPENDED_S))
+    return tuple(corrected), tuple(suspended)
+
+
+def _suspend(
+    world: World, suspended: tuple[SuspendedServer, ...], now: Instant
+) -> None:
+    for server_id, ready_in_s in suspended:
+        if server_id in world.backend_servers:
+            world.suspended_servers.put(SuspendedServerRow(server_id))
+            due_s = now.monotonic_s + ready_in_s
+            start_timer(world, TimerKind.SUSPENDED_SERVER, server_id, due_s)
+
+
+def _end_suspension(world: World, server_id: str) -> None:
+    world.suspended_servers.discard(server_id)
+    stop_timer(world, TimerKind.SUSPENDED_SERVER, server_id)
+
+
+@timer_handlers(TimerKind.SUSPENDED_SERVER)
+def use_suspended_server(world: World, server_id: str, now: Instant) -> None:
+    """Use a server that the platform hasn't removed since the restore."""
+    _end_suspension(world, server_id)
+    server = world.backend_servers.get(server_id)
+    if server is not None:
+        _store_server(world, server._replace(is_draining=False), now)
+
+
+def find_suspended_servers(world: World, now: Instant) -> tuple[SuspendedServer, ...]:
+    """Return the servers that count as draining for a while, with the time left."""
+    timers = [
+        world.timers.fetch((TimerKind.SUSPENDED_SERVER, row.server_id))
+        for row in world.suspended_servers
+    ]
+    return tuple(
+        SuspendedServer(timer.timer_id[1], timer.due_s - now.monotonic_s)
+        for timer in timers
+    )
 
 
 def _begin_era(world: World, version: int, now: Instant) -> bool:
@@ -141,6 +187,7 @@
         world.server_estimates.put(estimate)
         forget_share(world, server.server_id)
     world.backend_servers.put(server)
+    _end_suspension(world, server.server_id)
     if server.server_id in world.missing_servers:
         world.missing_servers.remove(server.server_id)
         stop_timer(world, TimerKind.MISSING_SERVER, server.server_id)
@@ -165,6 +212,7 @@
     _update_slots(world, server.service)
     world.server_estimates.discard(server_id)
     forget_share(world, server_id)
+    _end_suspension(world, server_id)
     world.missing_servers.discard(server_id)
     stop_timer(world, TimerKind.MISSING_SERVER, server_id)
     log_event(world, "INFO", "server_removed", server=server_id, reason=reason)
@@ -229,14 +277,16 @@
     now: Instant,
     missing: tuple[MissingServer, ...] = (),
     gaps: tuple[RegistryGap, ...] = (),
+    suspended: tuple[SuspendedServer, ...] = (),
 ) -> bool:
     """Apply a new version of the server list if it is newer than the one held.
 
     Servers that are not in ``servers`` are removed if ``is_complete``, otherwise only
     those in ``removed``. Another VM as the source tells which removals have to wait:
     those of the servers in ``missing``. They are scheduled here, because the version
-    of the list won't change when the source removes them. ``gaps`` are those
-    of the source after the version held, unless ``is_complete``.
+    of the list won't change when the source removes them. The same holds for
+    ``suspended``, which are used later. ``gaps`` are those of the source after the
+    version held, unless ``is_complete``.
 
     Returns:
         Whether it was newer.
@@ -245,7 +295,8 @@
     if version <= held_version:
         return False
     if _begin_era(world, version, now):
-        servers = _drop_outdated(world, servers, now)
+        servers, own_suspended = _correct_restored(world, servers, now)
+        suspended = (*own_suspended, *suspended)
     changed = servers
     if is_complete:
         listed = {server.server_id for server in servers}
@@ -267,6 +318,7 @@
             _delete_server(world, server_id, "removed on the VM copied from", now)
     for server_id, removal_in_s in missing:
         _schedule_removal(world, server_id, now.monotonic_s + removal_in_s)
+    _suspend(world, suspended, now)
     part = RegistryPart.SERVERS
     record_version(world, part, version)
     subjects = [server.server_id for server in changed]
--- a/burdockhitch/systems/direct/snapshots.py
+++ b/burdockhitch/systems/direct/snapshots.py
@@ -16,7 +16,11 @@
     has_newer_registry,
 )
 from burdockhitch.systems.direct.registry_changes import find_changes, find_gaps
-from burdockhitch.systems.direct.servers import apply_servers, find_missing_servers
+from burdockhitch.systems.direct.servers import (
+    apply_servers,
+    find_missing_servers,
+    find_suspended_servers,
+)
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import timer_handlers
 from burdockhitch.tables.registry_views import CopyQueueRow, RegistryPart
@@ -103,10 +107,10 @@
         return None
     changed = find_changes(world, RegistryPart.SERVERS, version)
     missing = find_missing_servers(world, now)
+    suspended = find_suspended_servers(world, now)
     if changed is None:
-        return ServersCopy(
-            held_version, tuple(world.backend_servers), (), True, missing, 0, ()
-        )
+        listed = tuple(world.backend_servers)
+        return ServersCopy(held_version, listed, (), True, missing, 0, (), suspended)
     servers = tuple(
         world.backend_servers.fetch(server_id)
         for server_id in changed
@@ -116,7 +120,9 @@
         server_id for server_id in changed if server_id not in world.backend_servers
     )
     gaps = find_gaps(world, RegistryPart.SERVERS, version)
-    return ServersCopy(held_version, servers, removed, False, missing, version, gaps)
+    return ServersCopy(
+        held_version, servers, removed, False, missing, version, gaps, suspended
+    )
 
 
 def _sent_at_s(world: World, now: Instant) -> float:
@@ -344,6 +350,7 @@
         now,
         copy.missing,
         copy.gaps,
+        copy.suspended,
     )
 
 
--- a/burdockhitch/tables/registry_views.py
+++ b/burdockhitch/tables/registry_views.py
@@ -173,6 +173,19 @@
     removed_at_s: float
 
 
+class SuspendedServerRow(NamedTuple):
+    """A backend server in a restored list that this VM had seen leave.
+
+    It counts as draining until a timer fires, since the platform removes it soon if it
+    has left. If it doesn't, the server had only been silent.
+
+    Attributes:
+        server_id: Backend server.
+    """
+
+    server_id: str
+
+
 def make_registry_views() -> Table[RegistryViewRow]:
     """Return an empty table of views by registry part."""
     return Table(RegistryViewRow, key="part")
@@ -206,3 +219,8 @@
 def make_removed_servers() -> Table[RemovedServerRow]:
     """Return an empty table of backend servers that left."""
     return Table(RemovedServerRow, key="server_id", sorted_fields=("removed_at_s",))
+
+
+def make_suspended_servers() -> Table[SuspendedServerRow]:
+    """Return an empty table of backend servers that count as draining for a while."""
+    return Table(SuspendedServerRow, key="server_id")
--- a/burdockhitch/tables/timers.py
+++ b/burdockhitch/tables/timers.py
@@ -88,6 +88,7 @@
     MESSAGE_TICK = "collect"
     ZONE_REPORT = "zone_report"
     SENDING_SHARES = "sending_shares"
+    SUSPENDED_SERVER = "suspended_server"
 
 
 class TimerRow(NamedTuple):
--- a/burdockhitch/world.py
+++ b/burdockhitch/world.py
@@ -104,6 +104,7 @@
     copy_queues: Table[registry_views.CopyQueueRow]
     missing_servers: Table[registry_views.MissingServerRow]
     removed_servers: Table[registry_views.RemovedServerRow]
+    suspended_servers: Table[registry_views.SuspendedServerRow]
     configurations: Table[registry_views.ConfigurationDocument]
     prefix_routes: Table[prefix_routes.PrefixRouteRow]
     routes: Table[routes.RouteRow]
@@ -191,6 +192,7 @@
         copy_queues=registry_views.make_copy_queues(),
         missing_servers=registry_views.make_missing_servers(),
         removed_servers=registry_views.make_removed_servers(),
+        suspended_servers=registry_views.make_suspended_servers(),
         configurations=registry_views.make_configurations(),
         prefix_routes=prefix_routes.make_prefix_routes(),
         routes=routes.make_routes(),
