Say in a refusal which conditions the servers of a service don't meet

A refusal said that no server could take the request. Now it names how many are draining, leaving, pausing or at their limit, which explain shows by the request's id.

--- a/burdockhitch/systems/direct/dispatch.py
+++ b/burdockhitch/systems/direct/dispatch.py
@@ -14,7 +14,10 @@
     selection_policies,
     would_miss_deadline,
 )
-from burdockhitch.systems.direct.sending_permission import shortest_pause_s
+from burdockhitch.systems.direct.sending_permission import (
+    describe_obstacles,
+    shortest_pause_s,
+)
 from burdockhitch.systems.direct.sending_shares import spend_share
 from burdockhitch.systems.direct.server_estimates import OVERDUE_FACTOR, p_failing
 from burdockhitch.systems.endings import advance_request, make_refusal, refuse_request
@@ -105,7 +108,10 @@
 def _dispatch(world: World, row: RequestRow, now: Instant) -> None:
     candidates = find_candidates(world, row, now)
     if not candidates:
+        obstacles = describe_obstacles(world, row.service, now)
         detail = f"no backend server of {row.service} can take the request"
+        if obstacles:
+            detail = f"{detail} (not met: {obstacles})"
         wait_s = mean_run_time_s(world, row.service)
         rest_s = shortest_pause_s(world, row.service, now)
         after_s = retry_after_s(world, row, wait_s, now, rest_s)
--- a/burdockhitch/systems/direct/sending_permission.py
+++ b/burdockhitch/systems/direct/sending_permission.py
@@ -4,6 +4,8 @@
 answer may change also before the first byte of an attempt that waited for a connection.
 """
 
+import itertools
+from collections import Counter
 from collections.abc import Callable
 
 from burdockhitch.clock import Instant
@@ -16,16 +18,16 @@
 sending_conditions: Registry[SendingCondition] = Registry("condition for sending")
 # Conditions on which a connection that is being opened doesn't count, as it was
 # counted when its attempt began.
-UNCOUNTED = ("listed", "not_leaving", "not_resting")
+UNCOUNTED = ("listed as ready", "staying", "rested")
 
 
-@sending_conditions("listed")
+@sending_conditions("listed as ready")
 def is_listed_as_ready(world: World, server: BackendServerRow, now: Instant) -> bool:
     """Return whether the registry doesn't list a server as draining."""
     return not server.is_draining
 
 
-@sending_conditions("not_leaving")
+@sending_conditions("staying")
 def has_not_stated_leaving(
     world: World, server: BackendServerRow, now: Instant
 ) -> bool:
@@ -33,14 +35,14 @@
     return server.server_id not in world.leaving_servers
 
 
-@sending_conditions("not_resting")
+@sending_conditions("rested")
 def is_rested(world: World, server: BackendServerRow, now: Instant) -> bool:
     """Return whether a server wants no pause of this VM, or none any more."""
     row = world.resting_servers.get(server.server_id)
     return row is None or row.until_s <= now.monotonic_s
 
 
-@sending_conditions("limit")
+@sending_conditions("below its limit")
 def is_within_limit(world: World, server: BackendServerRow, now: Instant) -> bool:
     """Return whether this VM has a share left of the limit that a server states."""
     return has_share(world, server.server_id, now)
@@ -53,6 +55,29 @@
     )
 
 
+def describe_obstacles(world: World, service: str, now: Instant) -> str:
+    """Return how many of a service's servers which condition excludes, for a log line.
+
+    A server that several conditions exclude counts for the first of them.
+    """
+    obstacles = Counter(
+        name
+        for server in world.backend_servers.select("service", service)
+        for name in _first_unmet(world, server, now)
+    )
+    return ", ".join(f"{n} {name}" for name, n in sorted(obstacles.items()))
+
+
+def _first_unmet(world: World, server: BackendServerRow, now: Instant) -> list[str]:
+    """Return the name of the first condition that a server doesn't meet, if any."""
+    unmet = (
+        name
+        for name in sending_conditions
+        if not sending_conditions[name](world, server, now)
+    )
+    return list(itertools.islice(unmet, 1))
+
+
 def may_still_send(world: World, attempt_id: int, now: Instant) -> bool:
     """Return whether an attempt may be sent that waited for a connection.
 
--- a/burdockhitch/tests/test_direct_server_notices.py
+++ b/burdockhitch/tests/test_direct_server_notices.py
@@ -168,6 +168,8 @@
     send_for(fleet, 1.0)
     connection = fleet.send("vm-0")
     assert fleet.status(connection) == "NoBackendServer"
+    refusal = fleet.caller_replies[connection].command.refusal
+    assert "(not met: 2 staying)" in refusal.detail
 
 
 PAUSES = {"short": 1.0, "long": 8.0, "fraction": 2.5, "too long to keep": 1e9}
@@ -227,8 +229,8 @@
 
 def test_the_order_of_the_conditions_for_sending_is_from_cheap_to_dear():
     assert sending_conditions.names() == (
-        "listed",
-        "not_leaving",
-        "not_resting",
-        "limit",
+        "listed as ready",
+        "staying",
+        "rested",
+        "below its limit",
     )
