--- a/burdockhitch/systems/direct/server_notices.py
+++ b/burdockhitch/systems/direct/server_notices.py
@@ -47,9 +47,13 @@
     rest_s = min(REST_MAX_S, event.rest_s)
     held = world.resting_servers.get(event.server_id)
     until_s = now.monotonic_s + rest_s
+    for row in world.resting_servers:
+        if row.until_s <= now.monotonic_s:
+            world.resting_servers.remove(row.server_id)
     if held is None or until_s > held.until_s:
-        row = RestingServerRow(event.server_id, started_ms, until_s)
-        world.resting_servers.put(row)
+        world.resting_servers.put(
+            RestingServerRow(event.server_id, started_ms, until_s)
+        )
     if held is None or held.until_s <= now.monotonic_s:
         count(world, "servers_resting")
         log_event(
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -3,8 +3,12 @@
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import MissingServer, SuspendedServer
 from burdockhitch.systems.direct.configuration import record_version, registry_view
-from burdockhitch.systems.direct.membership import schedule_row_write
 from burdockhitch.systems.direct.registry_changes import record_changes, record_gaps
+from burdockhitch.systems.direct.restores import (
+    begin_era,
+    correct_restored,
+    remember_removed,
+)
 from burdockhitch.systems.direct.sending_shares import forget_share
 from burdockhitch.systems.direct.server_estimates import P_FAILING_STATIONARY
 from burdockhitch.systems.direct.server_notices import forget_earlier_process
@@ -14,25 +18,16 @@
     MissingServerRow,
     RegistryGap,
     RegistryPart,
-    RemovedServerRow,
     SuspendedServerRow,
-    era_of,
 )
 from burdockhitch.tables.server_estimates import ServerEstimateRow
 from burdockhitch.tables.timers import TimerKind
-from burdockhitch.world import World, count, log_event, start_timer, stop_timer
+from burdockhitch.world import World, log_event, start_timer, stop_timer
 
 # Entries that expired during an outage of the platform are listed again within two
 # seconds of its end, and the rest allows for a call that the platform left unanswered
 # and that ends a little later.
 RELISTING_S = 2.2
-# Time for which this VM remembers servers that left, for a restored list that holds
-# them: the copies from which the platform's store is restored are some seconds old.
-REMOVED_MEMORY_S = 60.0
-# Time for which a server in a restored list counts as draining that this VM had seen
-# leave: the platform removes entries after three heartbeats of silence, and readers and
-# copies need a second.
-SUSPENDED_S = 6.0
 # Source of a list that this VM read itself; others are IDs of VMs.
 PLATFORM_SOURCE = "platform"
 
@@ -52,61 +47,6 @@
     return held._replace(sequence=server.sequence) != server
 
 
-def _is_outdated(world: World, server: BackendServerRow, now: Instant) -> bool:
-    """Return whether this VM knows better than a restored list what a server does.
-
-    That is, whether it holds a later entry, or knows that the process has left. The
-    entry of one that left tells nothing: its number rises without a new version.
-    """
-    held = world.backend_servers.get(server.server_id)
-    if held is not None:
-        known = (held.process_started_ms, held.sequence)
-        return known > (server.process_started_ms, server.sequence)
-    removed = world.removed_servers.get(server.server_id)
-    return (
-        removed is not None
-        and now.monotonic_s - removed.removed_at_s <= REMOVED_MEMORY_S
-        and server.process_started_ms <= removed.process_started_ms
-    )
-
-
-def _remember_removed(world: World, server: BackendServerRow, now: Instant) -> None:
-    """Remember a server that left, and forget those that left long ago."""
-    now_s = now.monotonic_s
-    earlier = world.removed_servers.get(server.server_id)
-    started_ms = server.process_started_ms
-    if earlier is not None:
-        started_ms = max(started_ms, earlier.process_started_ms)
-    world.removed_servers.put(RemovedServerRow(server.server_id, started_ms, now_s))
-    oldest = world.removed_servers.first("removed_at_s")
-    while oldest and now_s - oldest.removed_at_s > REMOVED_MEMORY_S:
-        world.removed_servers.remove(oldest.server_id)
-        oldest = world.removed_servers.first("removed_at_s")
-
-
-def _correct_restored(
-    world: World, servers: tuple[BackendServerRow, ...], now: Instant
-) -> tuple[tuple[BackendServerRow, ...], tuple[SuspendedServer, ...]]:
-    """Return a restored list as this VM knows it better, and the servers to suspend.
-
-    The copy shows servers as they were. Those that have left since count as draining,
-    and those that this VM knows by a later entry stay as they are.
-    """
-    corrected = []
-    suspended = []
-    for server in servers:
-        held = world.backend_servers.get(server.server_id)
-        if not _is_outdated(world, server, now):
-            corrected.append(server)
-        elif held is not None:
-            corrected.append(held)
-        else:
-            corrected.append(server._replace(is_draining=True))
-            if not server.is_draining:
-                suspended.append(SuspendedServer(server.server_id, SUSPENDED_S))
-    return tuple(corrected), tuple(suspended)
-
-
 def _suspend(
     world: World, suspended: tuple[SuspendedServer, ...], now: Instant
 ) -> None:
@@ -143,25 +83,6 @@
     )
 
 
-def _begin_era(world: World, version: int, now: Instant) -> bool:
-    """Record if a list is the first one since the store was restored from a copy.
-
-    Returns:
-        Whether it is.
-    """
-    view = registry_view(world, RegistryPart.SERVERS)
-    if not view.version or era_of(version) == era_of(view.version):
-        return False
-    world.registry_views.put(view._replace(restored_at_s=now.monotonic_s))
-    count(world, "registry_restores")
-    log_event(
-        world, "WARNING", "registry_restored", version=version, previous=view.version
-    )
-    # The rows that VMs wrote in the lost seconds are lost, too.
-    schedule_row_write(world, now)
-    return True
-
-
 def _update_slots(world: World, service: str) -> None:
     """Count the slots of a service after its servers have changed."""
     slots = [row.n_slots for row in world.backend_servers.select("service", service)]
@@ -208,7 +129,7 @@
     if server_id not in world.backend_servers:
         return
     server = world.backend_servers.remove(server_id)
-    _remember_removed(world, server, now)
+    remember_removed(world, server, now)
     _update_slots(world, server.service)
     world.server_estimates.discard(server_id)
     forget_share(world, server_id)
@@ -294,8 +215,8 @@
     held_version = registry_view(world, RegistryPart.SERVERS).version
     if version <= held_version:
         return False
-    if _begin_era(world, version, now):
-        servers, own_suspended = _correct_restored(world, servers, now)
+    if begin_era(world, version, now):
+        servers, own_suspended = correct_restored(world, servers, now)
         suspended = (*own_suspended, *suspended)
     changed = servers
     if is_complete:
--- a/burdockhitch/tests/test_direct_restored_store.py
+++ b/burdockhitch/tests/test_direct_restored_store.py
@@ -3,7 +3,7 @@
 import pytest
 
 from burdockhitch.systems.direct.configuration import registry_view
-from burdockhitch.systems.direct.servers import SUSPENDED_S
+from burdockhitch.systems.direct.restores import SUSPENDED_S
 from burdockhitch.tables.registry_views import RegistryPart
 from burdockhitch.tests.direct_fakes import make_route, make_server, start_fleet
 
