Let the stand-in of the store be restored, and test it with processes

It answers with its era, keeps a copy on request and goes back to it; a feed from a version that it doesn't have gets 410.

--- a/burdockhitch/standins/store.py
+++ b/burdockhitch/standins/store.py
@@ -153,6 +153,8 @@
         self._clock = clock
         self.store = RowStore()
         self._stale_store = self.store
+        self._backup = self.store.copy()
+        self.era = 0
         self._feed_waiters: list[Deferred[None]] = []
         self._call_times_s: list[float] = []
         self.n_calls = 0
@@ -178,6 +180,20 @@
         self.store.compact()
         return b"{}"
 
+    @app.route("/standin/backup", methods=["PUT"])
+    def back_up(self, request: Any) -> bytes:
+        """Keep a copy of the store, to restore it from."""
+        self._backup = self.store.copy()
+        return b"{}"
+
+    @app.route("/standin/restore", methods=["PUT"])
+    def restore(self, request: Any) -> bytes:
+        """Go back to the copy, with its versions, in a new era."""
+        self.store = self._backup.copy()
+        self.era += 1
+        self._notify_waiters()
+        return b"{}"
+
     @app.route("/standin/calls", methods=["GET"])
     def count_calls(self, request: Any) -> bytes:
         """Return how many protocol calls have arrived."""
@@ -206,7 +222,7 @@
             self.faults["n_lost_answers"] -= 1
             return Deferred()
         request.setResponseCode(status)
-        return self._answer({"ver": self.store.version, "nowS": 0.0})
+        return self._answer(request, {"ver": self.store.version, "nowS": 0.0})
 
     def _apply_transaction(self, document: WireTransaction) -> int:
         changed_rows: list[WireRowId] = [*document["puts"], *document["deletes"]]
@@ -240,7 +256,7 @@
         document = WireRows(
             rows=page_rows, ver=store.version, hasMore=len(rows) > limit
         )
-        return self._answer(document)
+        return self._answer(request, document)
 
     @app.route(names.WATCH_PATH, methods=["GET"])
     def watch(self, request: Any) -> Any:
@@ -249,18 +265,21 @@
         if fault_answer is not None:
             return fault_answer
         after_version = int(_query_parameter(request, b"after", "0"))
-        if after_version < self.store.oldest_version:
-            request.setResponseCode(STATUS_GONE)
-            return b"{}"
         table = _query_parameter(request, b"table")
         wait_s = int(_query_parameter(request, b"waitMs", "0")) / 1000
-        return self._read_feed(table, after_version, wait_s)
+        return self._read_feed(request, table, after_version, wait_s)
 
-    def _read_feed(self, table: str, after_version: int, wait_s: float) -> Any:
+    def _read_feed(
+        self, request: Any, table: str, after_version: int, wait_s: float
+    ) -> Any:
+        if not self.store.oldest_version <= after_version <= self.store.version:
+            request.setHeader(names.STORE_ERA, str(self.era))
+            request.setResponseCode(STATUS_GONE)
+            return b"{}"
         changed = self.store.changes(table, after_version)
         if changed or wait_s <= 0:
             rows = [_encode_row(row) for row in changed]
-            return self._answer(WireRows(rows=rows, ver=self.store.version))
+            return self._answer(request, WireRows(rows=rows, ver=self.store.version))
         started_s = self._clock.now().monotonic_s
         waiter: Deferred[None] = Deferred()
         self._feed_waiters.append(waiter)
@@ -268,7 +287,8 @@
 
         def read_again(_result: Any) -> Any:
             elapsed_s = self._clock.now().monotonic_s - started_s
-            return self._read_feed(table, after_version, wait_s - elapsed_s)
+            remaining_s = wait_s - elapsed_s
+            return self._read_feed(request, table, after_version, remaining_s)
 
         return waiter.addCallback(read_again)
 
@@ -301,7 +321,8 @@
         self._call_times_s.append(now_s)
         return False
 
-    def _answer(self, document: Any) -> Any:
+    def _answer(self, request: Any, document: Any) -> Any:
+        request.setHeader(names.STORE_ERA, str(self.era))
         body = msgspec.json.encode(document)
         delay_s = self.faults["delay_s"]
         if delay_s:
--- a/burdockhitch/tests/test_platform_processes.py
+++ b/burdockhitch/tests/test_platform_processes.py
@@ -217,6 +217,43 @@
     assert elapsed_s < 0.6
 
 
+def listed_servers(vm):
+    """Return whether each server that a VM lists is draining, by ID."""
+    rows = tool.get_json(vm.admin_address, "/state")["tables"]["backend_servers"]
+    return {row["server_id"]: row["is_draining"] for row in rows}
+
+
+def test_every_vm_follows_a_store_restored_from_a_copy(fleet):
+    kept, left, later = (f"127.0.1.{n}:1" for n in (241, 242, 243))
+    server = fleet.servers[0]._replace(service="restored")
+    for address in (kept, left):
+        platform.register_server(fleet.store_address, server._replace(address=address))
+
+    def wait_for(expected, what):
+        tool.wait_until(
+            lambda: all(
+                expected.items() <= listed_servers(vm).items() for vm in fleet.vms
+            ),
+            what,
+            WAIT_MAX_S,
+        )
+
+    wait_for({kept: False, left: False}, "servers at every VM")
+    tool.put_json(fleet.store_address, "/standin/backup", {})
+    leaving = server._replace(address=left)
+    platform.register_server(fleet.store_address, leaving, "draining", sequence=2)
+    wait_for({left: True}, "drain at every VM")
+    tool.put_json(fleet.store_address, "/standin/restore", {})
+    newer = server._replace(address=later)
+    platform.register_server(fleet.store_address, newer)
+    wait_for({kept: False, left: True, later: False}, "restored list at every VM")
+    platform.register_server(fleet.store_address, newer, "draining", sequence=2)
+    wait_for({kept: False, left: True, later: True}, "later drain at every VM")
+    for vm in fleet.vms:
+        metrics = tool.send_request(vm.admin_address, "GET", "/metrics").body
+        assert b"burdockhitch_registry_restores_total 1" in metrics
+
+
 def test_a_draining_server_gets_no_new_requests(fleet):
     server = fleet.servers[1]
     platform.register_server(fleet.store_address, server, "draining")
--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -93,7 +93,7 @@
 
 
 def register_server(
-    store: str, server: tool.RunningServer, state: str = "ready"
+    store: str, server: tool.RunningServer, state: str = "ready", sequence: int = 1
 ) -> None:
     """Write the row that registers a backend server."""
     document = {
@@ -104,7 +104,7 @@
         "concurrency": server.n_slots,
         "state": state,
         "warmupLeftS": 0,
-        "sequence": 1,
+        "sequence": sequence,
         "born": 1,
     }
     put_row(store, "servers", server.address, document)
