--- a/burdockhitch/systems/direct/sending_shares.py
+++ b/burdockhitch/systems/direct/sending_shares.py
@@ -10,6 +10,7 @@
 a few senders. Places at equal distances give each VM shares of several servers.
 """
 
+import functools
 import hashlib
 import math
 
@@ -33,11 +34,16 @@
 STATEMENT_STALE_S = 10.0
 # Time for which a VM remembers that a limit has ended, to tell VMs that missed it.
 ENDED_MEMORY_S = 10.0
+# Places of VMs that are kept, so that they are not computed at each assignment.
+RING_KEYS_MAX = 4096
+# Subject of the timer.
 ASSIGN = "assign"
 
 
-def _ring_key(name: str) -> bytes:
-    return hashlib.blake2b(name.encode(), digest_size=8).digest()
+@functools.lru_cache(maxsize=RING_KEYS_MAX)
+def _ring_key(vm_id: str) -> bytes:
+    """Return a VM's place in the order of the ring."""
+    return hashlib.blake2b(vm_id.encode(), digest_size=8).digest()
 
 
 def _place_of_this_vm(world: World) -> tuple[int, int]:
