Keep a server suspended through a second restore and a whole read

The suspension of a server that had left before a restore ended with any list that still held its old entry: a second restore within 6 s, or a whole read by another reader. The case of a second restore failed before; a later entry of the server still ends it.

--- a/burdockhitch/systems/direct/draining.py
+++ b/burdockhitch/systems/direct/draining.py
@@ -68,9 +68,13 @@
         deadline_s: Monotonic time of the request's deadline.
         now: Time of its arrival.
     """
+    if not is_leaving(world):
+        return False
     limit = world.timers.get((TimerKind.DRAINING_STEP, STEP_FORCE_EXIT))
-    if limit is None or deadline_s < limit.due_s:
-        return is_leaving(world) and limit is None
+    if limit is None:
+        return True
+    if deadline_s < limit.due_s:
+        return False
     grace_s = world.settings.direct.grace_s
     stop_requested_at_s = limit.due_s + EXIT_MARGIN_S - grace_s
     accept_s = min(ACCEPT_LONG_S, LISTEN_FRACTION * grace_s)
--- a/burdockhitch/systems/direct/restores.py
+++ b/burdockhitch/systems/direct/restores.py
@@ -84,12 +84,25 @@
     suspended = []
     for server in servers:
         held = world.backend_servers.get(server.server_id)
-        if not _is_outdated(world, server, now):
-            corrected.append(server)
-        elif held is not None:
+        is_suspended = is_still_suspended(world, server)
+        if held is not None and (is_suspended or _is_outdated(world, server, now)):
             corrected.append(held)
-        else:
+        elif _is_outdated(world, server, now):
             corrected.append(server._replace(is_draining=True))
-            if not server.is_draining:
-                suspended.append(SuspendedServer(server.server_id, SUSPENDED_S))
+            is_suspended = not server.is_draining
+        else:
+            corrected.append(server)
+        if is_suspended:
+            suspended.append(SuspendedServer(server.server_id, SUSPENDED_S))
     return tuple(corrected), tuple(suspended)
+
+
+def is_still_suspended(world: World, server: BackendServerRow) -> bool:
+    """Return whether a listed server is suspended, and hasn't written since."""
+    held = world.backend_servers.get(server.server_id)
+    if held is None or server.server_id not in world.suspended_servers:
+        return False
+    return (server.process_started_ms, server.sequence) <= (
+        held.process_started_ms,
+        held.sequence,
+    )
--- a/burdockhitch/systems/direct/servers.py
+++ b/burdockhitch/systems/direct/servers.py
@@ -7,6 +7,7 @@
 from burdockhitch.systems.direct.restores import (
     begin_era,
     correct_restored,
+    is_still_suspended,
     remember_removed,
 )
 from burdockhitch.systems.direct.sending_shares import forget_share
@@ -108,7 +109,8 @@
         world.server_estimates.put(estimate)
         forget_share(world, server.server_id)
     world.backend_servers.put(server)
-    _end_suspension(world, server.server_id)
+    if server != old:
+        _end_suspension(world, server.server_id)
     if server.server_id in world.missing_servers:
         world.missing_servers.remove(server.server_id)
         stop_timer(world, TimerKind.MISSING_SERVER, server.server_id)
@@ -218,6 +220,12 @@
     if begin_era(world, version, now):
         servers, own_suspended = correct_restored(world, servers, now)
         suspended = (*own_suspended, *suspended)
+    servers = tuple(
+        world.backend_servers.fetch(server.server_id)
+        if is_still_suspended(world, server)
+        else server
+        for server in servers
+    )
     changed = servers
     if is_complete:
         listed = {server.server_id for server in servers}
--- a/burdockhitch/tests/test_direct_restored_store.py
+++ b/burdockhitch/tests/test_direct_restored_store.py
@@ -172,6 +172,52 @@
     assert used_by == set()
 
 
+def restore_again(fleet, backup):
+    """Restore the registry once more from the same copy."""
+    fleet.registry.restore(backup)
+
+
+def read_whole(fleet, _backup):
+    """Let readers read the whole list, with a newer version."""
+    fleet.registry.is_history_gone = True
+    fleet.add_server("other")
+
+
+def change_readers(fleet, _backup):
+    """Refuse the calls of half of the VMs, so that others read the list whole."""
+    fleet.registry.refused_vms = {"vm-0", "vm-1", "vm-2"}
+    fleet.run(2.0)
+    fleet.add_server("other")
+
+
+LATER = {
+    "restored again": restore_again,
+    "list read whole": read_whole,
+    "other readers": change_readers,
+}
+
+
+@pytest.mark.parametrize("change", LATER.values(), ids=LATER)
+def test_a_server_that_left_stays_away_until_the_registry_removes_it(change):
+    fleet, backup = start_with_entry()
+    fleet.remove_server("s")
+    fleet.run(2.0)
+    restore(fleet, backup)
+    restored_at_s = fleet.clock.elapsed_s
+    fleet.run(1.0)
+    change(fleet, backup)
+    if change is restore_again:
+        restored_at_s = fleet.clock.elapsed_s
+    used_by = set()
+    for _step in range(100):
+        fleet.run(0.1)
+        used_by |= vms_that_use(fleet, "s")
+        if fleet.clock.elapsed_s - restored_at_s >= SILENT_REMOVED_S:
+            if "s" in fleet.registry.servers:
+                fleet.remove_server("s")
+    assert used_by == set()
+
+
 @pytest.mark.parametrize("loss_ratio", [0.0, 0.2])
 @pytest.mark.parametrize("is_vm_late", [False, True])
 def test_a_server_that_only_lapsed_in_the_lost_seconds_is_used_again(
