--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -33,6 +33,7 @@
         self.state = "ready"
         self.address = ""
         self.extra_headers = {}
+        self.answer_bytes = 0  # Least length of an answer's body.
         self.is_cut_from_store = False
         self.is_running = True
         self._free = asyncio.Semaphore(slots)
@@ -118,6 +119,7 @@
             await asyncio.sleep(self.work_s * random.uniform(0.7, 1.3))
         finally:
             self._free.release()
-        body = f"{self.server_id} {request_id} {len(request.body)}".encode()
+        body = f"{self.server_id} {request_id} {len(request.body)} ".encode()
+        body += b"." * (self.answer_bytes - len(body))
         headers["Backend-Signature"] = f"sig.{self.server_id}.{request_id}"
         await http.write_answer(writer, 200, headers, body)
