--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -6,6 +6,8 @@
 
 from . import http
 
+HEARTBEAT_S = 1.5
+
 
 class Backend:
     """Registers in the store, runs requests in slots and records what it ran.
@@ -36,6 +38,7 @@
         self.answer_bytes = 0  # Least length of an answer's body.
         self.is_cut_from_store = False
         self.is_running = True
+        self.last_beat_at = 0.0
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
         self._tasks = []
@@ -63,12 +66,14 @@
         }
 
     async def write_entry(self):
+        self.last_beat_at = time.time()
         await self.store.put("servers", self.server_id, self.entry())
 
-    async def _beat(self, period_s=1.5):
+    async def _beat(self):
         while self.is_running:
-            await asyncio.sleep(period_s)
+            await asyncio.sleep(HEARTBEAT_S)
             if self.is_running and not self.is_cut_from_store:
+                self.last_beat_at = time.time()
                 await self.store.put_quietly("servers", self.server_id, self.entry())
 
     async def drain(self):
@@ -76,14 +81,24 @@
         self.state = "draining"
         await self.write_entry()
 
-    async def stop(self):
-        """Leave: remove the entry, and close all connections."""
+    def crash(self):
+        """End without a word: the port is closed, and the entry is left behind."""
         self.is_running = False
-        await self.store.remove("servers", self.server_id)
         self._server.close()
         for writer in list(self._writers):
             writer.close()
 
+    async def expire(self):
+        """Remove the entry after three heartbeat intervals of silence, as the store."""
+        due_at = self.last_beat_at + 3 * HEARTBEAT_S
+        await asyncio.sleep(max(0.0, due_at - time.time()))
+        await self.store.remove("servers", self.server_id)
+
+    async def stop(self):
+        """Leave: remove the entry, and close all connections."""
+        await self.store.remove("servers", self.server_id)
+        self.crash()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
