--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -35,7 +35,8 @@
         self.state = "ready"
         self.address = ""
         self.extra_headers = {}
-        self.answer_bytes = 0  # Least length of an answer's body.
+        self.answer_bytes = 0  # Least length of an answer's body,
+        self.long_prefix = ""  # for targets that begin so.
         self.is_cut_from_store = False
         self.is_running = True
         self.last_beat_at = 0.0
@@ -135,6 +136,7 @@
         finally:
             self._free.release()
         body = f"{self.server_id} {request_id} {len(request.body)} ".encode()
-        body += b"." * (self.answer_bytes - len(body))
+        if request.target.startswith(self.long_prefix):
+            body += b"." * (self.answer_bytes - len(body))
         headers["Backend-Signature"] = f"sig.{self.server_id}.{request_id}"
         await http.write_answer(writer, 200, headers, body)
