--- a/review/1/run.py
+++ b/review/1/run.py
@@ -16,6 +16,7 @@
 
 
 def configuration(version, charge_service):
+    """Return a version in which charges go to a service."""
     routes = [
         ("lookup", "/lookup/", "safe", "bokning", 2),
         ("charge", "/charge/", "unsafe", charge_service, 2.5),
@@ -24,6 +25,7 @@
 
 
 async def call(record, vm, number, path, method):
+    """Send a request and record its answer."""
     request_id = f"{vm.name}.{number}.{method.lower()}"
     headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": 3000}
     body = b"seat" if method == "POST" else b""
@@ -33,7 +35,7 @@
             client.send(vm.front, method, path, headers, body), 3.0
         )
         record({"what": "answered", "id": request_id, "status": answer.status})
-    except (OSError, EOFError, asyncio.TimeoutError) as error:
+    except (TimeoutError, OSError, EOFError) as error:
         record({"what": "failed", "id": request_id, "error": repr(error)})
 
 
@@ -44,13 +46,18 @@
     while time.time() < until_s():
         number += 1
         for vm in vms:
-            tasks.append(asyncio.create_task(call(record, vm, number, "/lookup/1", "GET")))
-            tasks.append(asyncio.create_task(call(record, vm, number, "/charge/1", "POST")))
+            tasks.append(
+                asyncio.create_task(call(record, vm, number, "/lookup/1", "GET"))
+            )
+            tasks.append(
+                asyncio.create_task(call(record, vm, number, "/charge/1", "POST"))
+            )
         await asyncio.sleep(0.2)
     await asyncio.gather(*tasks)
 
 
 async def play(record, store, fleet):
+    """Lose the machines, change the configuration and watch the survivors."""
     await store.put("op", "config", configuration(1, "kassa"))
     backends = []
     for service in SERVICES:
@@ -73,7 +80,9 @@
         for vm in fleet.vms:
             if vm not in survivors:
                 vm.process.kill()
-        record.note("lost for good: all entry VMs but " + ", ".join(v.name for v in survivors))
+        record.note(
+            "lost for good: all entry VMs but " + ", ".join(v.name for v in survivors)
+        )
     await asyncio.sleep(CALM_S)
 
     ends_at = time.time() + 3600
--- a/review/lib/__init__.py
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the cases of the review."""
--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -46,6 +46,7 @@
         self._writers = set()
 
     async def start(self, ip="127.0.0.1"):
+        """Listen, and register in the store."""
         self._server = await asyncio.start_server(self._serve, ip, 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -53,6 +54,7 @@
         self._tasks.append(asyncio.create_task(self._beat()))
 
     def entry(self):
+        """Return the entry that it writes into the store."""
         self.sequence += 1
         return {
             "service": self.service,
@@ -67,6 +69,7 @@
         }
 
     async def write_entry(self):
+        """Write the entry, as a change."""
         self.last_beat_at = time.time()
         await self.store.put("servers", self.server_id, self.entry())
 
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -70,16 +70,19 @@
         self.started_at = time.time()
 
     def __call__(self, event):
+        """Record an event, with the time if it has none."""
         event.setdefault("at", time.time())
         self.events.append(event)
         shown = {**event, "at": round(event["at"] - self.started_at, 3)}
         self._file.write(json.dumps(shown) + "\n")
 
     def note(self, text):
+        """Record a line and print it."""
         self({"what": "note", "text": text})
         print(text, flush=True)
 
     def close(self):
+        """Close the file."""
         self._file.close()
 
 
--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -25,10 +25,12 @@
         self._streams = None
 
     async def open(self):
+        """Connect."""
         host, _, port = self.address.rpartition(":")
         self._streams = await asyncio.open_connection(host, int(port))
 
     async def send(self, method, target, headers, body=b""):
+        """Send a request and return the answer; connect first if necessary."""
         if self._streams is None:
             await self.open()
         reader, writer = self._streams
@@ -40,6 +42,7 @@
         return answer
 
     def close(self):
+        """Close the connection, if it is open."""
         if self._streams is not None:
             self._streams[1].close()
             self._streams = None
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -7,7 +7,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import time
 import tomllib
 from pathlib import Path
@@ -98,6 +97,7 @@
         self.log = fleet.folder / f"{self.name}.log"
 
     def settings(self):
+        """Return the fields of the settings, named as in DEPLOY.md."""
         fleet = self.fleet
         return {
             "nodeName": self.name,
@@ -121,6 +121,7 @@
         }
 
     def start(self):
+        """Write the settings file and start the process."""
         path = self.fleet.folder / f"{self.name}.ini"
         template = (REPOSITORY / ROLE["template"]).read_text()
         path.write_text(fill_template(template, self.settings()))
@@ -142,6 +143,7 @@
             )
 
     def kill(self):
+        """Kill the process and wait for its end."""
         self.process.kill()
         self.process.wait()
 
@@ -167,6 +169,7 @@
                 self.vms.append(Vm(self, len(self.vms) + 1, zone))
 
     def start(self):
+        """Start all processes."""
         for vm in self.vms:
             vm.start()
 
@@ -187,11 +190,12 @@
             answer = await asyncio.wait_for(
                 client.send(vm.readiness, "GET", "/-/ready", {"Host": "ready"}), 1.0
             )
-        except (OSError, EOFError, asyncio.TimeoutError):
+        except (TimeoutError, OSError, EOFError):
             return 0
         return answer.status
 
     def end(self):
+        """End all processes that still run."""
         for vm in self.vms:
             if vm.process is not None and vm.process.poll() is None:
                 vm.process.send_signal(signal.SIGCONT)
@@ -203,8 +207,3 @@
     import hashlib
 
     return hashlib.blake2b(f"{vm.zone}|{vm.name}".encode(), digest_size=8).digest()
-
-
-def end_with(code):
-    sys.stdout.flush()
-    sys.exit(code)
--- a/review/lib/http.py
+++ b/review/lib/http.py
@@ -58,6 +58,7 @@
 
 
 async def write_answer(writer, status, headers, body):
+    """Write an answer with its length."""
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append(f"Content-Length: {len(body)}")
@@ -66,6 +67,7 @@
 
 
 def encode_request(method, target, headers, body=b""):
+    """Return the bytes of a request."""
     lines = [f"{method} {target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if body or method not in ("GET", "HEAD"):
--- a/review/lib/memory.py
+++ b/review/lib/memory.py
@@ -17,6 +17,7 @@
         self.peak_mb = 0.0
 
     async def watch(self):
+        """Check the memory of all processes, until cancelled."""
         while True:
             for vm in self.fleet.vms:
                 used_mb = vm.memory_mb()
--- a/review/lib/slow.py
+++ b/review/lib/slow.py
@@ -18,6 +18,7 @@
         self.socket = None
 
     async def open(self):
+        """Connect."""
         host, _, port = self.address.rpartition(":")
         self.socket = socket.socket()
         # As on a link of packets, where the kernel can't take over a whole answer.
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -21,6 +21,7 @@
         self.n_calls = 0
 
     async def start(self, ip="127.0.0.1"):
+        """Listen on a free port."""
         server = await asyncio.start_server(self._serve, ip, 0)
         host, port = server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
@@ -39,6 +40,7 @@
             row[0] = base64.b64encode(json.dumps(document).encode()).decode()
 
     async def remove(self, table, key):
+        """Remove a row, if it exists."""
         if self.rows.get((table, key), [None])[0] is not None:
             await self._change({(table, key): None})
 
@@ -134,6 +136,6 @@
                     break
                 try:
                     await asyncio.wait_for(self.changed.wait(), left_s)
-                except asyncio.TimeoutError:
+                except TimeoutError:
                     break
         return 200, {"rows": rows, "ver": self.version, "nowS": time.monotonic()}
