--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -14,6 +14,8 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "tours.example"
+# Ends a script that hangs, so that its processes are ended too.
+PLAY_MAX_S = 100.0
 
 
 def make_configuration(version, routes, services, **limits):
@@ -104,7 +106,8 @@
         with tempfile.TemporaryDirectory(prefix="review-") as name:
             fleet = Fleet(store, Path(name), zones)
             try:
-                is_broken = await play(record, store, fleet)
+                async with asyncio.timeout(PLAY_MAX_S):
+                    is_broken = await play(record, store, fleet)
                 record.note("the rule was broken" if is_broken else "the rule held")
                 return 1 if is_broken else 0
             finally:
@@ -116,7 +119,7 @@
 
     try:
         code = asyncio.run(main())
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         record.note("the case couldn't run:\n" + traceback.format_exc())
     record.close()
     sys.exit(code)
