Read the registry on the VMs that survive a mass loss

Cause: only the first three VMs of a zone in rank read the store, and the others waited for them as long as they counted as alive. VMs are marked dead only while any VM is heard (a VM that hears none may be cut off), so a survivor that heard none waited forever, and one that heard another waited 3.2 s.

Ruled out: the copies between VMs, since readers lost in one zone are covered by tests that passed before.

Change: a better-ranked VM that wasn't heard for 1.4 s, the time after which a reader that gets no answers is replaced, no longer keeps others from reading, whether it is dead or unreachable. The check is due when that time comes. Marks stay as they were, so a VM that is cut off marks none dead.

Why it works: whether a VM reads now depends on what it hears, not on a mark that needs somebody else to be alive; and reading is what tells a VM whether it is cut off. The first survivor in rank reads 1.4 s after the loss at the latest, which leaves 0.6 s of the bound of 2 s for the copies. The tests that bound the calls to the platform, down and up, pass unchanged.

--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -42,12 +42,13 @@
 # A watch that would be shorter lasts until the next period.
 WATCH_MIN_S = 0.15
 # A reader announces each answer of the platform, so this allows for a late answer or
-# announcement. It bounds how late a zone learns of a change whose reader is cut off.
+# announcement. It bounds how late a zone learns of a change whose readers are cut off
+# or lost: no VM waits longer for VMs that it doesn't hear.
 READER_STALE_S = WATCH_PERIOD_S / 2 + 0.35
 # How much later each further VM in rank takes over, unless it hears that one before it
 # gets answers.
 READER_RANK_DELAY_S = 0.15
-# Most VMs of a zone that may read: the first ones in rank.
+# Most VMs of a zone that may read: the first ones in rank that are heard.
 READERS_MAX = 3
 # Pause between an answer of the platform and the next watch, without and with changes.
 # Each change that a reader applies is copied by all VMs of its zone, so those of the
@@ -90,25 +91,32 @@
 def _reader_from_s(world: World) -> float:
     """Return the monotonic time from which this VM has to read the registry.
 
-    It is in the past for the best-ranked VM, and infinite for one that never reads.
+    It is in the past for the best-ranked VM. For others it is the time at which too few
+    better-ranked VMs are left that were heard lately, unless more is heard of them.
     """
     better = better_ranked_vms(world)
-    if len(better) >= READERS_MAX:
-        return math.inf
     answered_at_s = max(
         (vm.status_updated_at_s - vm.platform_answer_age_s for vm in better),
         default=-math.inf,
     )
-    return (
-        answered_at_s + READER_STALE_S + READER_RANK_DELAY_S * max(0, len(better) - 1)
-    )
+    heard_at_s = sorted((vm.status_updated_at_s for vm in better), reverse=True)
+    from_s = math.inf
+    for n_heard in range(READERS_MAX):
+        # From the time at which at most so many of them count as heard.
+        silent_at_s = heard_at_s[n_heard] if n_heard < len(heard_at_s) else -math.inf
+        rank_delay_s = READER_RANK_DELAY_S * max(0, n_heard - 1)
+        due_s = max(silent_at_s, answered_at_s + rank_delay_s) + READER_STALE_S
+        from_s = min(from_s, due_s)
+    return from_s
 
 
 def is_reader(world: World, now: Instant) -> bool:
     """Return whether this VM has to read the platform's registry.
 
-    It does if it is among the first READERS_MAX in rank, and by their own reports
-    the platform has not answered any better-ranked VM for READER_STALE_S.
+    It does if it is among the first READERS_MAX in rank of the VMs that were heard in
+    the last READER_STALE_S, and by their own reports the platform has not answered any
+    better-ranked VM for that long. VMs that are silent may not read, whether they
+    have failed or this VM is cut off from them.
     """
     return now.monotonic_s > _reader_from_s(world)
 
@@ -151,11 +159,11 @@
 
 
 def _schedule_next_check(world: World, now: Instant) -> None:
-    """Check again when this VM may have to take over, if that is known."""
+    """Check again when this VM may have to take over, or after the usual period."""
     from_s = _reader_from_s(world)
     due_s = now.monotonic_s + READER_CHECK_PERIOD_S
-    if now.monotonic_s < from_s < math.inf:
-        due_s = from_s + READER_CHECK_MARGIN_S
+    if now.monotonic_s < from_s:
+        due_s = min(due_s, from_s + READER_CHECK_MARGIN_S)
     start_timer(world, TimerKind.REGISTRY_READ, READER_CHECK, due_s)
 
 
