Let the survivors of a mass loss do the tasks of their zone

What callers saw: nothing by itself. The VMs left in different zones after the loss of all others didn't meet again until the registry changed: no lists of VMs and no reports passed between their zones, so failures and loads seen in one were unknown in the others, and lost VMs stayed in address answers.

The first VM of a zone in rank sends its reports and lists, and VMs that are silent counted as better ranked until marked dead, which needs another VM to be heard. Lists also named silent VMs, and the receivers took each named one as heard.

Change: a VM is first in its zone if no better-ranked one was heard for as long as a VM may be silent, and lists leave silent VMs out.

Why it works: both go by what this VM hears; the lists are sent to VMs drawn at random, lost ones included, so survivors find each other, and from then on the usual marks apply.

--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -170,7 +170,12 @@
         send(world, commands.BroadcastMessage(tuple(addresses), message))
 
 
-def _is_silent(world: World, vm: VmRow, now: Instant) -> bool:
+def is_silent(world: World, vm: VmRow, now: Instant) -> bool:
+    """Return whether a VM was not heard for so long that it has failed or is cut off.
+
+    A silent VM isn't marked dead while this VM hears none, as then this VM may be the
+    one that is cut off.
+    """
     factor = 1 if vm.zone == world.local.zone else OTHER_ZONE_FACTOR
     return now.monotonic_s - vm.status_updated_at_s > HEARTBEAT_TIMEOUT_S * factor
 
@@ -183,7 +188,7 @@
         # All are silent: this VM is more likely cut off than all others dead.
         return
     live_zones = {vm.zone for vm in peers if vm.status is not VmStatus.DEAD}
-    for vm in [vm for vm in peers if _is_silent(world, vm, now)]:
+    for vm in [vm for vm in peers if is_silent(world, vm, now)]:
         silent_s = now.monotonic_s - vm.status_updated_at_s
         # The VMs of a lost zone are kept, to find it again.
         if silent_s > DEAD_REMOVAL_S and vm.zone in live_zones:
--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -12,7 +12,11 @@
 from burdockhitch.clock import Instant
 from burdockhitch.errors import PlatformHistoryGoneError
 from burdockhitch.systems.direct.configuration import apply_configuration, registry_view
-from burdockhitch.systems.direct.membership import add_listed_vm, broadcast_heartbeat
+from burdockhitch.systems.direct.membership import (
+    add_listed_vm,
+    broadcast_heartbeat,
+    is_silent,
+)
 from burdockhitch.systems.direct.servers import PLATFORM_SOURCE, apply_servers
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.systems.timing import timer_handlers
@@ -73,7 +77,7 @@
 
 @functools.cache
 def rank_in_zone(zone: str, vm_id: str) -> bytes:
-    """Return a VM's sort key in its zone; the lowest alive VM does zone-wide tasks."""
+    """Return a VM's sort key in its zone; the lowest heard VM does zone-wide tasks."""
     return hashlib.blake2b(f"{zone}|{vm_id}".encode(), digest_size=8).digest()
 
 
@@ -88,6 +92,11 @@
     ]
 
 
+def is_first_in_zone(world: World, now: Instant) -> bool:
+    """Return whether this VM does zone-wide tasks: no better-ranked VM was heard."""
+    return all(is_silent(world, vm, now) for vm in better_ranked_vms(world))
+
+
 def _reader_from_s(world: World) -> float:
     """Return the monotonic time from which this VM has to read the registry.
 
--- a/burdockhitch/systems/direct/zone_reports.py
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -8,12 +8,16 @@
 from burdockhitch import commands
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import Observation, ZoneMembers, ZoneReport
-from burdockhitch.systems.direct.membership import apply_zone_members, refresh_own_row
+from burdockhitch.systems.direct.membership import (
+    apply_zone_members,
+    is_silent,
+    refresh_own_row,
+)
 from burdockhitch.systems.direct.recent_successes import (
     pop_unreported_for_other_zones,
     record_peer_successes,
 )
-from burdockhitch.systems.direct.registry_reads import better_ranked_vms, rank_in_zone
+from burdockhitch.systems.direct.registry_reads import is_first_in_zone, rank_in_zone
 from burdockhitch.systems.direct.reports import (
     apply_peer_observation,
     is_any_service_busy,
@@ -122,7 +126,7 @@
 def _send_report(world: World, now: Instant) -> None:
     """Report observations and successes, and loads while a service is busy."""
     observations = _pop_observations(world)
-    if better_ranked_vms(world):
+    if not is_first_in_zone(world, now):
         return
     is_busy = is_any_service_busy(world)
     succeeded_server_ids = pop_unreported_for_other_zones(world, now)
@@ -147,11 +151,15 @@
     The receivers are drawn anew each time, so that a broken path between two VMs does
     not separate zones, and include dead VMs, so that zones find each other again.
     """
-    if better_ranked_vms(world):
+    if not is_first_in_zone(world, now):
         return
     refresh_own_row(world, now)
     same_zone = world.vms.select("zone", world.local.zone)
-    members = tuple(vm for vm in same_zone if vm.status is not VmStatus.DEAD)
+    members = tuple(
+        vm
+        for vm in same_zone
+        if vm.status is not VmStatus.DEAD and not is_silent(world, vm, now)
+    )
     receivers = [
         vm.message_address
         for zone in _other_zones(world)
--- a/burdockhitch/tests/test_direct_mass_loss.py
+++ b/burdockhitch/tests/test_direct_mass_loss.py
@@ -5,6 +5,7 @@
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.registry_reads import rank_in_zone
 from burdockhitch.tables.registry_views import RegistryPart
+from burdockhitch.tables.vms import VmStatus
 from burdockhitch.tests.direct_fakes import make_route, start_fleet
 
 ZONES = ("a", "b", "c")
@@ -83,3 +84,16 @@
         world = fleet.worlds[vm_id]
         assert world.backend_servers.fetch("1").is_draining
         assert registry_view(world, RegistryPart.CONFIGURATION).version == 7
+
+
+# The survivor of a zone left its duties to VMs that had been lost.
+@pytest.mark.parametrize("seed", range(3))
+def test_survivors_of_different_zones_meet_after_a_mass_loss(seed):
+    fleet = start_zones(seed)
+    survivors = last_of_each_zone(fleet)
+    lose_all_others(fleet, survivors)
+    fleet.run(30.0)
+    for vm_id in survivors:
+        world = fleet.worlds[vm_id]
+        alive = {vm.vm_id for vm in world.vms.select("status", VmStatus.ALIVE)}
+        assert alive == set(survivors)
