Offer callers few lost VMs after a mass loss

What callers saw: a VM that heard no other one named all VMs that it had known in its address answers, for good. With one of 18 left, 17 of 18 new connections went to lost VMs; each costs a caller up to a second of its deadline.

Change: silent VMs are named only if fewer than three others can be, and then no more than to make up three. Ruled out: naming none, since a VM that is cut off from its peers and its servers would leave its callers no other way; marking them dead, since a VM that is cut off has to keep the others.

The stub of test_loop takes the new argument; it checks the same as before.

--- a/burdockhitch/systems/direct/addresses.py
+++ b/burdockhitch/systems/direct/addresses.py
@@ -3,6 +3,7 @@
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
 from burdockhitch.systems.direct.configuration import registry_view
+from burdockhitch.systems.direct.membership import is_silent
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.tables.registry_views import RegistryPart
 from burdockhitch.tables.vms import VmRow, VmStatus
@@ -12,6 +13,9 @@
 OFFERS_MAX = 64
 # With fewer VMs than this, each would get too large a share of its zone's callers.
 SAME_ZONE_VMS_MIN = 3
+# With fewer VMs than this, silent ones are offered, too. If this VM is cut off from
+# them, callers may need them; if they have failed, few callers try them.
+OFFERS_MIN = 3
 
 
 def accepts_callers(vm: VmRow) -> bool:
@@ -19,14 +23,20 @@
     return vm.status is VmStatus.ALIVE and vm.is_ready
 
 
-def choose_offered_vms(world: World, zone: str) -> list[VmRow]:
+def choose_offered_vms(world: World, zone: str, now: Instant) -> list[VmRow]:
     """Return the VMs to offer to callers of a zone, in random order.
 
-    VMs of other zones are included if the zone has fewer than ``SAME_ZONE_VMS_MIN``.
+    VMs of other zones are included if the zone has fewer than ``SAME_ZONE_VMS_MIN``,
+    and silent ones if there are fewer than ``OFFERS_MIN`` others.
     """
-    available = [vm for vm in world.vms if accepts_callers(vm)]
-    same_zone = [vm for vm in available if vm.zone == zone]
-    chosen = same_zone if len(same_zone) >= SAME_ZONE_VMS_MIN else available
+    accepting = [vm for vm in world.vms if accepts_callers(vm)]
+    heard = [vm for vm in accepting if not is_silent(world, vm, now)]
+    same_zone = [vm for vm in heard if vm.zone == zone]
+    chosen = same_zone if len(same_zone) >= SAME_ZONE_VMS_MIN else heard
+    n_missing = OFFERS_MIN - len(chosen)
+    if n_missing > 0:
+        silent = [vm for vm in accepting if is_silent(world, vm, now)]
+        chosen += world.rng.sample(silent, min(len(silent), n_missing))
     world.rng.shuffle(chosen)
     return chosen[:OFFERS_MAX]
 
@@ -38,7 +48,7 @@
         zone = event.zone or world.local.zone
         offers = tuple(
             commands.AddressOffer(vm.caller_address, vm.zone, "")
-            for vm in choose_offered_vms(world, zone)
+            for vm in choose_offered_vms(world, zone, now)
         )
         command = commands.OfferAddresses(
             event.connection_id,
--- a/burdockhitch/tests/test_direct_mass_loss.py
+++ b/burdockhitch/tests/test_direct_mass_loss.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from burdockhitch import events
 from burdockhitch.systems.direct.configuration import registry_view
 from burdockhitch.systems.direct.registry_reads import rank_in_zone
 from burdockhitch.tables.registry_views import RegistryPart
@@ -11,6 +12,10 @@
 ZONES = ("a", "b", "c")
 # More VMs of each zone than may read the registry.
 ZONE_VMS = 6
+# Time after which a silent VM of another zone counts as dead.
+SILENCE_MAX_S = 4 * 3.2
+# Most lost VMs that a VM offers if it knows of too few that run.
+LOST_OFFERS_MAX = 2
 # Time within which a VM in touch must apply a change of the registry.
 SPREAD_MAX_S = 2.0
 
@@ -86,6 +91,34 @@
         assert registry_view(world, RegistryPart.CONFIGURATION).version == 7
 
 
+def offered_vm_ids(fleet, vm_id):
+    """Return the IDs of the VMs that a VM offers to a caller of its zone."""
+    world = fleet.worlds[vm_id]
+    connection = 10_000 + len(fleet.caller_replies)
+    event = events.AddressesRequested(connection, "", "", world.local.zone)
+    fleet.post(vm_id, event)
+    offers = fleet.caller_replies[connection].command.offers
+    addresses = {offer.address for offer in offers}
+    return {vm.vm_id for vm in world.vms if vm.caller_address in addresses}
+
+
+# A VM that heard no other one offered all that had been lost.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("choose_survivors", SURVIVORS)
+@pytest.mark.parametrize("lose", LOSSES)
+def test_survivors_of_a_mass_loss_offer_callers_few_lost_vms(
+    lose, choose_survivors, seed
+):
+    fleet = start_zones(seed)
+    survivors = choose_survivors(fleet)
+    lose(fleet, survivors)
+    fleet.run(SILENCE_MAX_S + 1.0)
+    for vm_id in survivors:
+        offered = offered_vm_ids(fleet, vm_id)
+        assert vm_id in offered
+        assert len(offered - set(survivors)) <= LOST_OFFERS_MAX
+
+
 # The survivor of a zone left its duties to VMs that had been lost.
 @pytest.mark.parametrize("seed", range(3))
 def test_survivors_of_different_zones_meet_after_a_mass_loss(seed):
--- a/burdockhitch/tests/test_loop.py
+++ b/burdockhitch/tests/test_loop.py
@@ -141,7 +141,7 @@
     world = fleet.worlds["vm-0"]
     monkeypatch.setattr(
         "burdockhitch.systems.direct.addresses.choose_offered_vms",
-        lambda _world, _zone: 1 / 0,
+        lambda _world, _zone, _now: 1 / 0,
     )
     post_event(world, events.AddressesRequested(9, HOST, "", "a"))
     message = RequestMessage("GET", "/a/x", (), b"", "", HOST)
