Keep delays finite after any number of failures

Cause: the time for which an unreachable server is avoided was computed as 2.0 to the power of the failures and only then limited, which overflows at 1,024. The error was raised between the removal of the attempt and the end of its request.

The same cause on related paths: the delay of the next read of the registry. After 1,024 failed reads in a row, some 17 minutes of an outage, no read would have followed for as long as the process lives. The hold of an ejected server had the same form.

Change: one function for delays that double, which limits the exponent.

--- a/burdockhitch/systems/direct/poison_requests.py
+++ b/burdockhitch/systems/direct/poison_requests.py
@@ -12,6 +12,7 @@
 import math
 
 from burdockhitch import commands
+from burdockhitch.backoff import doubled_delay_s
 from burdockhitch.clock import Instant
 from burdockhitch.direct_messages import PoisonRequests, RequestEvidence
 from burdockhitch.errors import AnswerLostError
@@ -225,7 +226,7 @@
     if _is_ambiguous(world, row):
         return row.ended_at_s + AMBIGUOUS_REFUSAL_S
     n_doublings = len(row.ended) - ENDS_MAX
-    return row.ended_at_s + min(REFUSAL_MAX_S, REFUSAL_S * 2.0**n_doublings)
+    return row.ended_at_s + doubled_delay_s(REFUSAL_S, n_doublings, REFUSAL_MAX_S)
 
 
 def _trial_rank(world: World, digest: str) -> int:
--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -9,6 +9,7 @@
 import math
 
 from burdockhitch import commands, events
+from burdockhitch.backoff import doubled_delay_s
 from burdockhitch.clock import Instant
 from burdockhitch.errors import PlatformHistoryGoneError
 from burdockhitch.systems.direct.configuration import apply_configuration, registry_view
@@ -267,7 +268,7 @@
     if is_history_gone:
         view = view._replace(watch_from_version=0, read_failed_at_s=0.0, n_failures=0)
     world.registry_views.put(view)
-    delay_max_s = min(READ_BACKOFF_MAX_S, READ_BACKOFF_S * 2.0**n_failures)
+    delay_max_s = doubled_delay_s(READ_BACKOFF_S, n_failures, READ_BACKOFF_MAX_S)
     delay_s = 0.0 if is_history_gone else delay_max_s * (0.5 + 0.5 * world.rng.random())
     due_s = now.monotonic_s + delay_s
     start_timer(world, TimerKind.REGISTRY_READ, view.part, due_s)
--- a/burdockhitch/systems/direct/server_estimates.py
+++ b/burdockhitch/systems/direct/server_estimates.py
@@ -8,6 +8,7 @@
 import math
 from typing import NamedTuple
 
+from burdockhitch.backoff import doubled_delay_s
 from burdockhitch.clock import Instant
 from burdockhitch.registry import Registry
 from burdockhitch.tables.server_estimates import ServerEstimateRow
@@ -130,7 +131,7 @@
     if row is None:
         return
     n_connect_failures = row.n_connect_failures + 1
-    avoid_s = min(AVOID_MAX_S, AVOID_INITIAL_S * 2.0 ** (n_connect_failures - 1))
+    avoid_s = doubled_delay_s(AVOID_INITIAL_S, n_connect_failures - 1, AVOID_MAX_S)
     world.server_estimates.replace(
         row._replace(
             n_connect_failures=n_connect_failures,
--- a/burdockhitch/systems/ejection.py
+++ b/burdockhitch/systems/ejection.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 
+from burdockhitch.backoff import doubled_delay_s
 from burdockhitch.clock import Instant
 from burdockhitch.registry import Registry
 from burdockhitch.systems.health import (
@@ -82,7 +83,7 @@
     It doubles with each repeated ejection, up to the configured maximum.
     """
     settings = world.settings.backend_servers
-    return float(min(settings.hold_max_s, settings.hold_s * 2 ** (n_ejections - 1)))
+    return doubled_delay_s(settings.hold_s, n_ejections - 1, settings.hold_max_s)
 
 
 def _eject(world: World, row: ServerHealthRow, now: Instant) -> None:
