Restore a name that a rename changed by mistake

_send_to_other_zones lost an underscore with the names made public beside it; a test that replaces it failed (test_direct_requests, failure-True).

--- a/burdockhitch/systems/direct/zone_reports.py
+++ b/burdockhitch/systems/direct/zone_reports.py
@@ -90,7 +90,7 @@
     return [zone for zone in world.vms.values("zone") if zone != world.local.zone]
 
 
-def _send_toother_zones(world: World, report: ZoneReport) -> None:
+def _send_to_other_zones(world: World, report: ZoneReport) -> None:
     addresses = [
         address
         for zone in other_zones(world)
@@ -143,7 +143,7 @@
         observations,
         limits,
     )
-    _send_toother_zones(world, report)
+    _send_to_other_zones(world, report)
 
 
 def _send_members(world: World, now: Instant) -> None:
