Answer every request though a system raises an error

A periodic task whose handler failed once (heartbeats, reads of the registry) never ran again.

Cause: an error ends a system in the middle; events and timers are taken out before they are handled.

Change: in a tick in which a system failed, a recovery phase ends the requests whose attempt is gone (outcome unknown), restores the timers of deadlines and cancels attempts without a request. A timer whose handler fails is started again and keeps no other from firing. A request whose acceptance fails is refused as not run. A failed tick that left events or due timers is repeated after 50 ms; before, the loop was busy with it all the time.

--- a/burdockhitch/adapters/loop.py
+++ b/burdockhitch/adapters/loop.py
@@ -12,6 +12,10 @@
 from burdockhitch.systems.phases import run_tick
 from burdockhitch.world import World, count, post_event
 
+# Time after which a failed tick is repeated for the events and timers that it left, so
+# that an error that lasts doesn't keep the loop busy.
+TICK_RETRY_S = 0.05
+
 
 class Ticker:
     """Runs one tick for all events that arrive in one turn of the reactor.
@@ -55,15 +59,18 @@
         # Cleared after reading the sockets, so that events posted there don't schedule
         # another tick.
         self._is_requested = False
+        retry_s = 0.0
         try:
             run_tick(self._world)
         except Exception:
             logger.exception("tick_failed")
             count(self._world, "ticks_failed")
+            retry_s = TICK_RETRY_S
         self._execute_commands()
-        if len(self._world.inbox):
-            self.request_tick()
-        self._schedule_next_timer()
+        if len(self._world.inbox) and not self._is_requested:
+            self._is_requested = True
+            self._reactor.callLater(retry_s, self._tick)
+        self._schedule_next_timer(retry_s)
 
     def _read_sockets(self) -> None:
         if self._read_pending is None:
@@ -84,7 +91,7 @@
                 logger.exception("command_failed")
                 count(self._world, "commands_failed", "kind", row.kind)
 
-    def _schedule_next_timer(self) -> None:
+    def _schedule_next_timer(self, delay_min_s: float) -> None:
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
@@ -92,4 +99,6 @@
         if row is None:
             return
         delay_s = row.due_s - self._world.clock.now().monotonic_s
-        self._timer = self._reactor.callLater(max(0.0, delay_s), self.request_tick)
+        self._timer = self._reactor.callLater(
+            max(delay_min_s, delay_s), self.request_tick
+        )
--- a/burdockhitch/systems/direct/__init__.py
+++ b/burdockhitch/systems/direct/__init__.py
@@ -31,6 +31,7 @@
     servers,
     snapshots,
     starting,
+    stranded_requests,
     zone_reports,
 )
 # isort: on
@@ -64,5 +65,6 @@
     "servers",
     "snapshots",
     "starting",
+    "stranded_requests",
     "zone_reports",
 ]
--- a/burdockhitch/systems/direct/answers.py
+++ b/burdockhitch/systems/direct/answers.py
@@ -311,7 +311,12 @@
         refusal = make_refusal(DeadlineTooShortError, detail, RETURN_MIN_S)
         refuse_request(world, row, refusal, now)
         return
-    attempt = world.attempts.fetch(row.attempt_id)
+    attempt = world.attempts.get(row.attempt_id)
+    if attempt is None:
+        row = row._replace(attempt_id=0)
+        detail = "the deadline passed after an error interrupted the request"
+        end_with_unknown_outcome(world, row, make_refusal(AnswerLostError, detail), now)
+        return
     is_first = (TimerKind.OVERDUE, str(attempt.attempt_id)) in world.timers
     stop_timer(world, TimerKind.OVERDUE, str(attempt.attempt_id))
     if attempt.is_connecting:
--- a/burdockhitch/systems/direct/intake.py
+++ b/burdockhitch/systems/direct/intake.py
@@ -2,10 +2,20 @@
 
 from burdockhitch import commands, events
 from burdockhitch.clock import Instant
-from burdockhitch.errors import NotReadyError, RequestRefusedError, RouteNotFoundError
+from burdockhitch.errors import (
+    NoBackendServerError,
+    NotReadyError,
+    RequestRefusedError,
+    RouteNotFoundError,
+)
 from burdockhitch.systems.direct.budget import credit_retry_budget
 from burdockhitch.systems.direct.draining import may_outlast_grace
-from burdockhitch.systems.endings import abandon_request, advance_request, make_refusal
+from burdockhitch.systems.endings import (
+    abandon_request,
+    advance_request,
+    make_refusal,
+    refuse_request,
+)
 from burdockhitch.systems.phases import DIRECT, Phase, system
 from burdockhitch.tables.prefix_routes import PrefixRouteRow
 from burdockhitch.tables.requests import RequestRow, RequestState
@@ -113,12 +123,38 @@
     advance_request(world, row, "queue", now)
 
 
+def _refuse_failed(
+    world: World, event: events.HostRequestArrived, error: Exception, now: Instant
+) -> None:
+    """Refuse a request that was not accepted because of an unexpected error."""
+    detail = f"it was not accepted because of an error: {error!r}"
+    rows = world.requests.select("connection_id", event.connection_id)
+    for row in rows:
+        refusal = make_refusal(NoBackendServerError, detail, RETRY_AFTER_S)
+        refuse_request(world, row, refusal, now)
+    if not rows:
+        _refuse_arrival(world, event, NoBackendServerError, detail, RETRY_AFTER_S)
+
+
 @system(Phase.INTAKE, DIRECT)
 def accept_requests(world: World, now: Instant) -> None:
-    """Accept or refuse each request that arrived from a caller."""
+    """Accept or refuse each request that arrived from a caller.
+
+    A request whose acceptance raises an error is refused, as its event is gone.
+
+    Raises:
+        Exception: The last of these errors, after all requests.
+    """
+    failure = None
     for event in pop_events(world, events.HostRequestArrived):
-        count(world, "requests_accepted")
-        _accept(world, event, now)
+        try:
+            count(world, "requests_accepted")
+            _accept(world, event, now)
+        except Exception as error:
+            failure = error
+            _refuse_failed(world, event, error, now)
+    if failure is not None:
+        raise failure
 
 
 def _handle_disconnect(world: World, row: RequestRow, now: Instant) -> None:
--- a/burdockhitch/systems/endings.py
+++ b/burdockhitch/systems/endings.py
@@ -166,7 +166,8 @@
 def _cancel_attempt_or_forward(world: World, row: RequestRow, ending: Ending) -> None:
     """Cancel the attempt or the forwarded request, and release its slot."""
     if row.attempt_id:
-        world.attempts.remove(row.attempt_id)
+        # An error may have interrupted the start or the end of the attempt.
+        world.attempts.discard(row.attempt_id)
         release_slot(world, row.tried[-1])
         send(world, commands.CancelAttempt(row.attempt_id))
     if row.state in (RequestState.FORWARDED, RequestState.AT_HOME):
--- a/burdockhitch/systems/phases.py
+++ b/burdockhitch/systems/phases.py
@@ -30,6 +30,8 @@
     DISPATCH = 10
     DRAINING = 11
     ACCOUNTING = 12
+    # Only in ticks in which a system raised an error, after all others.
+    RECOVERY = 13
 
 
 # Sending modes, the values of the ``sending`` policy: only the owner of a backend
@@ -60,23 +62,21 @@
 
 @functools.cache
 def _ordered_systems(mode: str) -> tuple[System, ...]:
-    """Return the systems of a sending mode by phase, then by registration."""
+    """Return the systems of a usual tick by phase, then by registration."""
     return tuple(
-        function for phase in Phase for function in _systems.get((mode, phase), ())
+        function
+        for phase in Phase
+        if phase is not Phase.RECOVERY
+        for function in _systems.get((mode, phase), ())
     )
 
 
-def run_tick(world: World) -> None:
-    """Run the systems of this VM's sending mode once, in the order of their phases.
-
-    An error in one system doesn't keep the others from running.
-
-    Raises:
-        TickFailedError: After the tick, if systems raised errors.
-    """
-    now = world.clock.now()
+def _run_systems(
+    world: World, systems: tuple[System, ...], now: Instant
+) -> dict[str, Exception]:
+    """Run systems, log the errors that they raise, and return them by system."""
     failures: dict[str, Exception] = {}
-    for function in _ordered_systems(world.settings.policies.sending):
+    for function in systems:
         try:
             function(world, now)
         except Exception as error:
@@ -88,5 +88,22 @@
                 system=function.__name__,
                 error=repr(error),
             )
+    return failures
+
+
+def run_tick(world: World) -> None:
+    """Run the systems of this VM's sending mode once, in the order of their phases.
+
+    An error in one system doesn't keep the others from running. After one, the systems
+    of the phase ``RECOVERY`` mend what it left half done.
+
+    Raises:
+        TickFailedError: After the tick, if systems raised errors.
+    """
+    now = world.clock.now()
+    mode = world.settings.policies.sending
+    failures = _run_systems(world, _ordered_systems(mode), now)
     if failures:
+        recovery = tuple(_systems.get((mode, Phase.RECOVERY), ()))
+        failures |= _run_systems(world, recovery, now)
         raise TickFailedError(tuple(failures)) from next(iter(failures.values()))
--- a/burdockhitch/systems/timing.py
+++ b/burdockhitch/systems/timing.py
@@ -11,7 +11,14 @@
 from burdockhitch.systems.phases import SENDING_MODES, Phase, system
 from burdockhitch.tables.operations import PlatformOperationRow
 from burdockhitch.tables.timers import TimerKind
-from burdockhitch.world import World, count, log_event, pop_events, stop_timer
+from burdockhitch.world import (
+    World,
+    count,
+    log_event,
+    pop_events,
+    start_timer,
+    stop_timer,
+)
 
 TimerHandler = Callable[[World, str, Instant], None]
 MessageHandler = Callable[[World, str, Any, Instant], None]
@@ -25,6 +32,8 @@
 
 # A timer that fires later than this shows that the process lacks processor time.
 TIMER_LATE_S = 0.25
+# Time after which a timer fires again whose handler raised an error.
+TIMER_RETRY_S = 0.25
 
 # Importing this module registers its message types in ``vm_messages``.
 REGISTERED_MODULES = (direct_messages,)
@@ -33,15 +42,31 @@
 
 @system(Phase.TIMING, *SENDING_MODES)
 def fire_timers(world: World, now: Instant) -> None:
-    """Call the handlers of all due timers, earliest first."""
+    """Call the handlers of all due timers, earliest first.
+
+    A timer whose handler raises an error is started again, since periodic tasks
+    and the deadlines of requests depend on it, and keeps no other from firing.
+
+    Raises:
+        Exception: The last of these errors, after all timers.
+    """
     _log_lateness(world, now)
+    failure = None
     while True:
         timer = world.timers.first("due_s")
         if timer is None or timer.due_s > now.monotonic_s:
-            return
-        world.timers.remove(timer.timer_id)
+            break
         kind, subject = timer.timer_id
-        timer_handlers[kind](world, subject, now)
+        try:
+            world.timers.remove(timer.timer_id)
+            timer_handlers[kind](world, subject, now)
+        except Exception as error:
+            failure = error
+            log_event(world, "ERROR", "timer_failed", timer=kind, error=repr(error))
+            if timer.timer_id not in world.timers:
+                start_timer(world, kind, subject, now.monotonic_s + TIMER_RETRY_S)
+    if failure is not None:
+        raise failure
 
 
 def _log_lateness(world: World, now: Instant) -> None:
--- a/burdockhitch/tests/direct_fakes.py
+++ b/burdockhitch/tests/direct_fakes.py
@@ -7,6 +7,8 @@
 from typing import Any, NamedTuple
 
 from burdockhitch import events
+from burdockhitch.adapters.loop import TICK_RETRY_S
+from burdockhitch.errors import TickFailedError
 from burdockhitch.messages import RequestMessage
 from burdockhitch.settings import (
     DirectSettings,
@@ -167,6 +169,9 @@
         statements: What servers stated in answers that VMs got.
         stated_rests: Seconds for which a server that refuses wants no requests of a
             VM, by server ID.
+        n_unwritten_answers: Callers' connections of each VM with an answer that isn't
+            written yet.
+        are_errors_expected: Whether errors that systems raise fail no test.
         poison_paths: Paths of requests that end the server that runs them.
         poison_ends: IDs of the servers that ended under such a request, in order.
         ended_server_ids: IDs of the servers whose process has ended, and refuse
@@ -206,6 +211,8 @@
         self.stated_rests: dict[str, float] = {}
         self.process_numbers: dict[str, int] = {}
         self.statements: list[Statement] = []
+        self.are_errors_expected = False
+        self.n_unwritten_answers = 0
         self.poison_paths: set[str] = set()
         self.poison_ends: list[str] = []
         self.ended_server_ids: set[str] = set()
@@ -227,6 +234,7 @@
         self.logs: list[tuple[str, Any]] = []
         self._scheduled_calls: list[tuple[float, int, Any]] = []
         self._links: dict[str, Link] = {}
+        self._retried_at_s: dict[str, float] = {}
         self._numbers = count(1)
         self._connection_ids = count(1)
 
@@ -369,13 +377,20 @@
     def tick(self, vm_id: str) -> None:
         """Run one tick of a VM and its commands; schedule another if events remain."""
         world = self.worlds[vm_id]
-        run_tick(world)
+        retry_s = 0.0
+        try:
+            run_tick(world)
+        except TickFailedError:
+            if not self.are_errors_expected:
+                raise
+            retry_s = TICK_RETRY_S
+            self._retried_at_s[vm_id] = self.clock.elapsed_s + retry_s
         for row in world.outbox:
             world.outbox.remove(row.sequence)
             if row.kind in handlers:
                 handlers[row.kind](self, vm_id, row.command)
         if len(world.inbox):
-            self.later(0.0, lambda: self._tick_if_running(vm_id))
+            self.later(retry_s, lambda: self._tick_if_running(vm_id))
 
     def _tick_if_running(self, vm_id: str) -> None:
         if vm_id in self.worlds:
@@ -388,7 +403,8 @@
             timer = world.timers.first("due_s")
             if timer is not None:
                 # The monotonic clock of the fakes starts at 1000 s.
-                due_timers.append((timer.due_s - 1000.0, vm_id))
+                due_s = max(timer.due_s - 1000.0, self._retried_at_s.get(vm_id, 0.0))
+                due_timers.append((due_s, vm_id))
         return min(due_timers)
 
     def run(self, duration_s: float) -> None:
