Let a stopping VM end when its last answer is written

Cause: a request's row is gone when its answer is handed to the connection, and the process ended 0.2 s after the last row.

Change: before it ends, the VM counts the connections of callers with bytes that the kernel hasn't taken, and checks again every 0.1 s while there are any, up to 0.1 s before the end of its grace. The decision is the system's, the count the adapter's.

Evidence: the new test ends the writing after 0, 2, 4.5 and 100 s; another writes 64 MiB to a caller that doesn't read, and one that does.

The native front end ends in the same way and is not changed here.

--- a/burdockhitch/adapters/listening.py
+++ b/burdockhitch/adapters/listening.py
@@ -81,6 +81,11 @@
             if is_idle and not is_readable(channel.transport):
                 channel.loseConnection()
 
+    def count_unwritten(self, reactor: Any) -> int:
+        """Return how many connections have bytes that the kernel didn't take yet."""
+        writers = set(reactor.getWriters())
+        return sum(channel.transport in writers for channel in self.open_channels)
+
 
 def is_readable(transport: Any) -> bool:
     """Return whether data or connections wait to be read from a socket."""
--- a/burdockhitch/commands.py
+++ b/burdockhitch/commands.py
@@ -227,6 +227,10 @@
     """Stop accepting connections; requests in progress are still served."""
 
 
+class CountUnwrittenAnswers(NamedTuple):
+    """Count the callers' connections with an answer that isn't written yet."""
+
+
 class StopProcess(NamedTuple):
     """End the process once the last answers are written."""
 
--- a/burdockhitch/events.py
+++ b/burdockhitch/events.py
@@ -155,6 +155,12 @@
     document: Any
 
 
+class UnwrittenAnswersCounted(NamedTuple):
+    """How many callers' connections have an answer that isn't written yet."""
+
+    n_connections: int
+
+
 class StopRequested(NamedTuple):
     """A signal, or the platform's VM list, requests that this VM leave the fleet."""
 
--- a/burdockhitch/platform/daemon.py
+++ b/burdockhitch/platform/daemon.py
@@ -51,6 +51,17 @@
     stop_listening(process.ports)
 
 
+@command_handlers("CountUnwrittenAnswers")
+def count_unwritten_answers(
+    process: PlatformProcess, _command: commands.CountUnwrittenAnswers
+) -> None:
+    """Post how many callers' connections have bytes that the kernel didn't take yet."""
+    n_connections = sum(
+        site.count_unwritten(process.reactor) for site in process.caller_sites
+    )
+    process.ticker.post(events.UnwrittenAnswersCounted(n_connections))
+
+
 @command_handlers("StopProcess")
 def stop_process(process: PlatformProcess, _command: commands.StopProcess) -> None:
     """Stop the reactor after a delay in which the last answers are written."""
@@ -85,6 +96,7 @@
         datagrams=Datagrams(world, ticker.post, reactor),
         ports=[],
         connection_ids=count(1),
+        caller_sites=[],
     )
     return process
 
@@ -102,6 +114,7 @@
     }:
         listen(reactor, address, directory, ports)
     caller_site = callers.make_caller_site(process)
+    process.caller_sites.append(caller_site)
     listen(reactor, settings.vm.caller_address, caller_site, ports)
 
 
--- a/burdockhitch/platform/process.py
+++ b/burdockhitch/platform/process.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from burdockhitch.adapters.connections import ConnectionPool
+from burdockhitch.adapters.listening import CallerSite
 from burdockhitch.registry import Registry
 from burdockhitch.world import World
 
@@ -21,6 +22,8 @@
         datagrams: UDP socket for messages from and to other VMs.
         ports: Listening TCP ports.
         connection_ids: Source of connection ids for caller requests, from 1.
+        caller_sites: Sites of the callers' listening ports; they keep track of the
+            connections also after the ports are closed.
     """
 
     world: World
@@ -32,6 +35,7 @@
     datagrams: Any
     ports: list[Any]
     connection_ids: Iterator[int]
+    caller_sites: list[CallerSite]
 
 
 CommandHandler = Callable[[PlatformProcess, Any], None]
--- a/burdockhitch/systems/direct/draining.py
+++ b/burdockhitch/systems/direct/draining.py
@@ -2,7 +2,8 @@
 
 The platform kills the process at the end of the grace period. So a request that arrives
 late is refused unless its deadline lies before, and what is still open at the end is
-answered.
+answered. The process ends when the last answer is written: callers on slow links take
+long answers over seconds.
 """
 
 from burdockhitch import commands, events
@@ -23,6 +24,7 @@
     World,
     discard_events,
     log_event,
+    pop_events,
     send,
     start_timer,
     stop_timer,
@@ -35,6 +37,8 @@
 # Time reserved at the end of the grace period for sending the last answers and for
 # the process to end.
 EXIT_MARGIN_S = 0.4
+# The same for the last answers that are being written.
+WRITE_MARGIN_S = 0.1
 # Time after the request to stop in which requests are accepted that may outlast the
 # grace period. Most end long before, and callers may not know of another VM yet.
 ACCEPT_LONG_S = 3.0
@@ -42,6 +46,7 @@
 STEP_CLOSE_LISTENERS = "close"
 STEP_CHECK_IDLE = "idle"
 STEP_FORCE_EXIT = "limit"
+STEP_STOP = "stop"
 
 
 @system(Phase.DRAINING, DIRECT)
@@ -58,6 +63,8 @@
     start_timer(world, TimerKind.DRAINING_STEP, STEP_CLOSE_LISTENERS, close_at_s)
     limit_at_s = now.monotonic_s + grace_s - EXIT_MARGIN_S
     start_timer(world, TimerKind.DRAINING_STEP, STEP_FORCE_EXIT, limit_at_s)
+    stop_at_s = now.monotonic_s + grace_s - WRITE_MARGIN_S
+    start_timer(world, TimerKind.DRAINING_STEP, STEP_STOP, stop_at_s)
 
 
 def may_outlast_grace(world: World, deadline_s: float, now: Instant) -> bool:
@@ -96,22 +103,45 @@
             refuse_request(world, row, refusal, now)
 
 
+def _check_idle_later(world: World, now: Instant) -> None:
+    due_s = now.monotonic_s + IDLE_CHECK_PERIOD_S
+    start_timer(world, TimerKind.DRAINING_STEP, STEP_CHECK_IDLE, due_s)
+
+
 @timer_handlers(TimerKind.DRAINING_STEP)
 def continue_draining(world: World, step: str, now: Instant) -> None:
-    """Close the listeners; end the process once no request is left.
+    """Close the listeners; end the process once no request and no answer is left.
 
-    At the limit, the open requests are answered. The process ends at the next check,
-    so that the answers can leave before.
+    At the limit, the open requests are answered. Until the end of the grace period the
+    answers can be written.
     """
+    if step == STEP_STOP:
+        log_event(world, "WARNING", "vm_left", n_requests=len(world.requests))
+        _stop(world)
+        return
     if step == STEP_CLOSE_LISTENERS:
         send(world, commands.CloseListeners())
     if step == STEP_FORCE_EXIT:
         log_event(world, "WARNING", "vm_ends_requests", n_requests=len(world.requests))
         _end_open_requests(world, now)
-    if len(world.requests) or step != STEP_CHECK_IDLE:
-        due_s = now.monotonic_s + IDLE_CHECK_PERIOD_S
-        start_timer(world, TimerKind.DRAINING_STEP, STEP_CHECK_IDLE, due_s)
-        return
-    stop_timer(world, TimerKind.DRAINING_STEP, STEP_FORCE_EXIT)
-    log_event(world, "INFO", "vm_left", n_requests=len(world.requests))
+    if step != STEP_CHECK_IDLE or len(world.requests):
+        _check_idle_later(world, now)
+    else:
+        send(world, commands.CountUnwrittenAnswers())
+
+
+@system(Phase.DRAINING, DIRECT)
+def stop_when_answers_are_written(world: World, now: Instant) -> None:
+    """End the process if no answer is left to write, or check again later."""
+    for event in pop_events(world, events.UnwrittenAnswersCounted):
+        if event.n_connections or len(world.requests):
+            _check_idle_later(world, now)
+            continue
+        log_event(world, "INFO", "vm_left", n_requests=0)
+        _stop(world)
+
+
+def _stop(world: World) -> None:
+    for step in (STEP_FORCE_EXIT, STEP_STOP, STEP_CHECK_IDLE):
+        stop_timer(world, TimerKind.DRAINING_STEP, step)
     send(world, commands.StopProcess())
--- a/burdockhitch/tests/direct_edges.py
+++ b/burdockhitch/tests/direct_edges.py
@@ -399,6 +399,17 @@
     fleet.logs.append((vm_id, command))
 
 
+@handlers("CountUnwrittenAnswers")
+def count_unwritten_answers(fleet, vm_id, command):
+    """Tell a VM how many of its callers' connections still have to be written."""
+    fleet.later(
+        0.0,
+        lambda: fleet.post(
+            vm_id, events.UnwrittenAnswersCounted(fleet.n_unwritten_answers)
+        ),
+    )
+
+
 @handlers("StopProcess")
 def record_stop(fleet, vm_id, command):
     """Record that a VM asked for the end of its process."""
--- a/burdockhitch/tests/test_direct_draining.py
+++ b/burdockhitch/tests/test_direct_draining.py
@@ -72,3 +72,16 @@
     stop_at_s = fleet.clock.elapsed_s
     replies = [fleet.caller_replies[c].at_s for c in connections]
     assert max(replies) <= stop_at_s
+
+
+# A VM ended while it still wrote long answers to callers on slow links.
+@pytest.mark.parametrize("written_after_s", [0.0, 2.0, 4.5, 100.0])
+def test_a_vm_ends_when_its_last_answer_is_written_or_its_grace_ends(written_after_s):
+    fleet = start_stopping_vm()
+    fleet.n_unwritten_answers = 1
+    fleet.later(written_after_s, lambda: setattr(fleet, "n_unwritten_answers", 0))
+    fleet.run(min(written_after_s, GRACE_S - 0.2))
+    assert fleet.stopped_vm_ids == set()
+    # It listens for half of its grace, and ends in time for the platform.
+    fleet.run(max(0.5, GRACE_S / 2 + 0.5 - written_after_s))
+    assert fleet.stopped_vm_ids == {"vm-0"}
--- a/burdockhitch/tests/test_listening.py
+++ b/burdockhitch/tests/test_listening.py
@@ -155,3 +155,26 @@
     send_get(client, "/first")
     assert run_loop_until(reactor, client).endswith(b"/first")
     client.close()
+
+
+@pytest.mark.parametrize("n_bytes", [0, 64 * 1024 * 1024])
+def test_a_connection_counts_as_unwritten_until_the_kernel_has_all_bytes(n_bytes):
+    reactor = SelectReactor()
+    site = CallerSite(Resource())
+    (address,) = find_free_addresses(1)
+    ports = []
+    listen(reactor, address, site, ports)
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port))) as caller:
+        ports[0].doRead()
+        (channel,) = site.open_channels
+        channel.transport.write(b"a" * n_bytes)
+        reactor.doIteration(0.1)
+        assert site.count_unwritten(reactor) == (1 if n_bytes else 0)
+        n_received = 0
+        while n_received < n_bytes:
+            reactor.doIteration(0)
+            n_received += len(caller.recv(1 << 20))
+        reactor.doIteration(0)
+        assert site.count_unwritten(reactor) == 0
+    ports[0].stopListening()
--- a/burdockhitch/tests/test_platform_backends.py
+++ b/burdockhitch/tests/test_platform_backends.py
@@ -45,7 +45,7 @@
     limits = AnswerLimits(body_max_bytes=1000, open_max_bytes=1000)
     pool = ConnectionPool(reactor, reactor.seconds, TIMEOUT_S, limits)
     process = PlatformProcess(
-        world, reactor, RecordingTicker(), {}, {}, pool, None, [], iter(range(9))
+        world, reactor, RecordingTicker(), {}, {}, pool, None, [], iter(range(9)), []
     )
     message = RequestMessage("GET", "/a/", (), b"", "", "a.example")
     command = commands.SendAttempt(
