Bound the memory of all request bodies that a VM holds

Cause: single bodies had a limit, all together had none, and the process didn't know how much memory it may use.

Change: the settings pass on the memory that the platform grants. Bodies above 64 KiB reserve their announced size, twice for the copy that is sent, out of what is left beside 100 MB for the process; one that has no room is refused as not run, with a Retry-After, before it is read, and what its caller still sends is discarded, so that the refusal isn't lost by a reset. Chunked bodies reserve as they grow. A body that is the only large one is always taken, as before.

Evidence: new tests with 1, 2, 3 and 8 uploads where two have room, with a length and in chunks.

Not done: a body is still held whole, so few large ones fit at a time; answers that are written to slow callers don't count.

--- a/burdockhitch/adapters/bodies.py
+++ b/burdockhitch/adapters/bodies.py
@@ -25,7 +25,12 @@
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Append a chunk of the body unless the limit is exceeded."""
-        if self.content.tell() + len(data) > self.body_max_bytes:
+        n_bytes = self.content.tell() + len(data)
+        if n_bytes > self.body_max_bytes:
             self.is_too_large = True
-        if not self.is_too_large:
+        if not self.is_too_large and self.has_room_for(n_bytes):
             self.content.write(data)
+
+    def has_room_for(self, _n_bytes: int) -> bool:
+        """Return whether this process can hold so many bytes of the body."""
+        return True
--- a/burdockhitch/errors.py
+++ b/burdockhitch/errors.py
@@ -367,6 +367,10 @@
     """The request body exceeds the size limit."""
 
 
+class BodyRefusedError(NotRunError):
+    """This VM has no memory left for the body of the request."""
+
+
 class RateLimitedError(NotRunError):
     """The client account exceeds its rate limit."""
 
--- a/burdockhitch/platform/callers.py
+++ b/burdockhitch/platform/callers.py
@@ -1,5 +1,6 @@
 """HTTP interface for the platform's callers: requests, addresses and readiness."""
 
+import io
 import math
 from typing import Any
 
@@ -7,16 +8,19 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Site
 
-from burdockhitch import commands, events
+from burdockhitch import commands, events, log
 from burdockhitch.adapters import headers
 from burdockhitch.adapters.bodies import BoundedRequest
+from burdockhitch.adapters.body_limits import HeldBodies
 from burdockhitch.adapters.listening import CallerChannel, CallerSite
-from burdockhitch.messages import RequestMessage
+from burdockhitch.errors import BodyRefusedError
+from burdockhitch.messages import Refusal, RequestMessage
 from burdockhitch.platform import names
 from burdockhitch.platform.documents import WireAddresses
 from burdockhitch.platform.process import PlatformProcess, command_handlers
 from burdockhitch.problems import make_problem_document, problems
 from burdockhitch.systems.direct.membership import is_leaving
+from burdockhitch.systems.endings import make_refusal
 from burdockhitch.tables.vms import VmStatus
 
 # In force only while this VM holds no configuration, which sets the limit otherwise.
@@ -25,6 +29,9 @@
 # limit takes effect.
 HEADER_MAX_BYTES = 256 * 1024
 IDLE_TIMEOUT_S = 60
+# Time after which a caller whose body had no room may return.
+BODY_RETRY_AFTER_S = 0.5
+BYTES_PER_MB = 1_000_000
 STATUS_UNAVAILABLE = 503
 STATUS_BAD_REQUEST = 400
 STATUS_NOT_FOUND = 404
@@ -54,6 +61,8 @@
             timeout=IDLE_TIMEOUT_S,
         )
         self._world = process.world
+        memory_mb = process.world.settings.direct.memory_mb
+        self.held_bodies = HeldBodies(memory_mb * BYTES_PER_MB)
 
     def read_body_max_bytes(self) -> int:
         """Return the size limit of a body by the configuration in force."""
@@ -63,15 +72,62 @@
 
 
 class CallerHttpRequest(BoundedRequest):
-    """A caller's request, with its body limited by the configuration."""
+    """A caller's request, whose body is limited by the configuration and the memory.
+
+    A request without room for its body is refused before the body is read. The rest of
+    the body is discarded, since callers would not see the refusal if the
+    connection closed before.
+
+    Attributes:
+        is_refused: Whether there was no room for the body.
+    """
 
     # Keeps Twisted from adding a Content-Type to answers that have none.
     defaultContentType = None
+    is_refused = False
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Take the limit in force when the body starts."""
+        """Take the limit in force when the body starts, and reserve its memory."""
         self.body_max_bytes = self.channel.site.read_body_max_bytes()
         super().gotLength(length)
+        # The request has no channel any more when it has ended.
+        held_bodies = self.channel.site.held_bodies
+        self.notifyFinish().addBoth(lambda _reason: held_bodies.release(self))
+        if length and not self.is_too_large:
+            self.has_room_for(length)
+
+    def has_room_for(self, n_bytes: int) -> bool:
+        """Reserve memory for the body; refuse the request if there is none."""
+        held_bodies = self.channel.site.held_bodies
+        if not self.is_refused and not held_bodies.reserve(self, n_bytes):
+            self._refuse_body(n_bytes)
+        return not self.is_refused
+
+    def _refuse_body(self, n_bytes: int) -> None:
+        self.is_refused = True
+        self.content = io.BytesIO()
+        held_bodies = self.channel.site.held_bodies
+        held_bodies.release(self)
+        fields = {
+            "request_id": self.getHeader(names.REQUEST_ID) or "",
+            "n_bytes": n_bytes,
+            "n_held_bytes": held_bodies.n_bytes,
+        }
+        log.write_event("WARNING", "body_refused", fields)
+        # An answer must not overtake those to earlier requests of the connection.
+        if self.channel.requests[0] is self:
+            self.write_refusal()
+
+    def write_refusal(self) -> None:
+        """Write the refusal, unless it is written; the connection closes after it."""
+        if self.startedWriting:
+            return
+        self.channel.persistent = False
+        self.setHeader("connection", "close")
+        detail = "this VM has no memory left for the body"
+        refusal = make_refusal(BodyRefusedError, detail, BODY_RETRY_AFTER_S)
+        request_id = self.getHeader(names.REQUEST_ID) or ""
+        _write_problem(self, refusal, request_id)
 
 
 class CallerResource(Resource):
@@ -92,6 +148,10 @@
 
         413 means that the body is too large, 400 that the id or host is missing.
         """
+        if request.is_refused:
+            request.write_refusal()
+            request.finish()
+            return NOT_DONE_YET
         if request.is_too_large:
             request.setResponseCode(STATUS_TOO_LARGE)
             return b""
@@ -149,9 +209,22 @@
     return request
 
 
-def _finish_answer(request: Any, body: bytes) -> None:
+def _write_body(request: Any, body: bytes) -> None:
     request.setHeader("content-length", str(len(body)))
     request.write(body)
+
+
+def _write_problem(request: Any, refusal: Refusal, request_id: str) -> None:
+    request.setResponseCode(int(problems[refusal.error].status))
+    request.setHeader("content-type", "application/problem+json")
+    if refusal.retry_after_s:
+        request.setHeader(names.RETRY_AFTER, f"{refusal.retry_after_s:.3f}")
+    document = make_problem_document(refusal, request_id)
+    _write_body(request, msgspec.json.encode(document))
+
+
+def _finish_answer(request: Any, body: bytes) -> None:
+    _write_body(request, body)
     request.finish()
 
 
@@ -174,13 +247,8 @@
     request = _pop_request(process, command.connection_id)
     if request is None:
         return
-    refusal = command.refusal
-    request.setResponseCode(int(problems[refusal.error].status))
-    request.setHeader("content-type", "application/problem+json")
-    if refusal.retry_after_s:
-        request.setHeader(names.RETRY_AFTER, f"{refusal.retry_after_s:.3f}")
-    document = make_problem_document(refusal, command.request_id)
-    _finish_answer(request, msgspec.json.encode(document))
+    _write_problem(request, command.refusal, command.request_id)
+    request.finish()
 
 
 @command_handlers("OfferAddresses")
--- a/burdockhitch/problems.py
+++ b/burdockhitch/problems.py
@@ -77,6 +77,11 @@
     HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     "The body is too large",
 )
+_register_problem(
+    errors.BodyRefusedError,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    "No memory is left for the body",
+)
 _register_problem(
     errors.RateLimitedError, HTTPStatus.TOO_MANY_REQUESTS, "The account is over rate"
 )
--- a/burdockhitch/settings.py
+++ b/burdockhitch/settings.py
@@ -51,6 +51,7 @@
 DEFAULT_RETRY_WINDOW_S = 10.0
 DEFAULT_RETRY_SLACK = 64.0
 DEFAULT_LINK_MBPS = 1000.0
+DEFAULT_MEMORY_MB = 300.0
 BYTES_PER_MBIT = 125_000
 DEFAULT_ADDRESS_TTL_S = 3.5
 
@@ -218,6 +219,7 @@
         retry_slack: Retries that the fleet may send per window beyond the ratio.
         address_ttl_s: How long callers may cache an address answer.
         link_mbps: Capacity of this VM's link, in megabits per second.
+        memory_mb: Memory that this VM's process may use, in megabytes.
     """
 
     directory_address: str = DEFAULT_ADDRESS
@@ -229,6 +231,7 @@
     retry_slack: float = DEFAULT_RETRY_SLACK
     address_ttl_s: float = DEFAULT_ADDRESS_TTL_S
     link_mbps: float = DEFAULT_LINK_MBPS
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 class LogSettings(NamedTuple):
@@ -351,6 +354,7 @@
         "retry_ratio": "number",
         "retry_slack": "number",
         "link_mbps": "number",
+        "memory_mb": "number",
     }
     if field in name_by_field:
         return name_by_field[field]
@@ -428,6 +432,10 @@
         raise SettingsError(
             path, "direct", "link_mbps", "0", "a capacity above zero, in Mbit/s"
         )
+    if settings.direct.memory_mb <= 0:
+        raise SettingsError(
+            path, "direct", "memory_mb", "0", "an amount of memory above zero, in MB"
+        )
     addresses = settings.vm[2:5]
     if len(set(addresses)) < len(addresses):
         raise SettingsError(
--- a/burdockhitch/tests/test_platform_callers.py
+++ b/burdockhitch/tests/test_platform_callers.py
@@ -4,10 +4,13 @@
 from types import SimpleNamespace
 
 import pytest
+from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
-from burdockhitch import events
-from burdockhitch.platform.callers import make_caller_site
+from burdockhitch import commands, events
+from burdockhitch.messages import Answer
+from burdockhitch.platform.callers import make_caller_site, send_answer
 from burdockhitch.tests.direct_fakes import HOST, start_fleet
 
 FORM = (
@@ -86,3 +89,73 @@
     channel = connect_caller(process)
     channel.dataReceived(make_head(len(body), content_type) + body)
     assert posted_bodies(process) == [body]
+
+
+def answer_all(process):
+    """Answer all open requests."""
+    for connection_id in list(process.callers):
+        command = commands.AnswerCaller(connection_id, "id", Answer(200, (), b"ok"))
+        send_answer(process, command)
+
+
+# Uploads at once, each within the limit, took a VM above its memory.
+@pytest.mark.parametrize("has_length", [True, False])
+@pytest.mark.parametrize(("n_uploads", "n_taken"), [(1, 1), (2, 2), (3, 2), (8, 2)])
+def test_bodies_without_room_are_refused_as_not_run_before_they_are_read(
+    n_uploads, n_taken, has_length
+):
+    process = make_process(memory_mb=102.0)
+    n_bytes = 400_000
+    channels = [connect_caller(process) for _ in range(n_uploads)]
+    body = b"a" * n_bytes
+    chunk = b"%x\r\n%b\r\n" % (n_bytes, body)
+    for channel in channels:
+        channel.dataReceived(make_head(n_bytes, length=has_length))
+        channel.dataReceived(body if has_length else chunk)
+    refused = [c for c in channels if b"503" in c.transport.value()]
+    assert len(refused) == n_uploads - n_taken
+    for channel in refused:
+        answer = channel.transport.value().lower()
+        assert b"not-run" in answer and b"retry-after: 0.5" in answer
+        assert b"connection: close" in answer
+    for channel in channels:
+        channel.dataReceived(b"" if has_length else b"0\r\n\r\n")
+    assert posted_bodies(process) == [body] * n_taken
+    assert all(channel.transport.disconnecting for channel in refused)
+    answer_all(process)
+    assert process.site.held_bodies.n_bytes == 0
+
+
+def test_a_body_without_room_is_refused_from_its_head_and_then_discarded():
+    process = make_process(memory_mb=102.0)
+    first, second = connect_caller(process), connect_caller(process)
+    first.dataReceived(make_head(900_000))
+    second.dataReceived(make_head(900_000))
+    assert b"503" in second.transport.value()
+    assert not second.transport.disconnecting
+    second.dataReceived(b"a" * 900_000)
+    assert second.transport.disconnecting
+    assert posted_bodies(process) == []
+
+
+@pytest.mark.parametrize("end", ["answered", "left", "left early"])
+def test_the_memory_of_a_body_is_released_at_its_end(end):
+    process = make_process(memory_mb=102.0)
+    channel = connect_caller(process)
+    channel.dataReceived(make_head(900_000))
+    if end != "left early":
+        channel.dataReceived(b"a" * 900_000)
+    assert process.site.held_bodies.n_bytes == 900_000
+    if end == "answered":
+        answer_all(process)
+    else:
+        channel.connectionLost(Failure(ConnectionDone()))
+    assert process.site.held_bodies.n_bytes == 0
+
+
+def test_small_bodies_are_taken_beside_large_ones():
+    process = make_process(memory_mb=102.0)
+    connect_caller(process).dataReceived(make_head(1_000_000))
+    for _ in range(100):
+        connect_caller(process).dataReceived(make_head(3) + b"abc")
+    assert posted_bodies(process) == [b"abc"] * 100
--- a/burdockhitch/tests/test_platform_documents.py
+++ b/burdockhitch/tests/test_platform_documents.py
@@ -257,6 +257,7 @@
     "bounds.budgetWindowS": "10",
     "bounds.retryBudgetSlack": "176",
     "limits.linkMbps": "10",
+    "limits.memoryMb": "200",
 }
 
 
@@ -277,6 +278,7 @@
     assert settings.direct.drain_s == 2.5
     assert settings.direct.retry_slack == 176
     assert settings.direct.link_mbps == 10
+    assert settings.direct.memory_mb == 200
     assert settings.vm.message_address == "10.1.0.1:7720"
 
 
@@ -290,6 +292,7 @@
         ("bounds.graceS", "0", "grace"),
         ("bounds.retryBudgetRatio", "-1", "retry_ratio"),
         ("limits.linkMbps", "0", "link_mbps"),
+        ("limits.memoryMb", "0", "memory_mb"),
     ],
 )
 def test_an_invalid_setting_is_an_error_that_names_its_key(field, value, key, tmp_path):
