Write the refusal of a body with its protocol, and keep what was reserved

And a body reserved only what had arrived, so uploads were taken that had no room, and were refused in the middle.

The tests now look at the status line, and send a byte of the first body before the second one's head; both failed before.

--- a/burdockhitch/adapters/body_limits.py
+++ b/burdockhitch/adapters/body_limits.py
@@ -29,7 +29,7 @@
         return self._n_bytes
 
     def reserve(self, holder: Hashable, n_bytes: int) -> bool:
-        """Reserve the memory of a body, instead of what its holder had; or refuse it.
+        """Reserve the memory of a body, unless that much is reserved, or refuse it.
 
         A body that is the only large one is taken, whatever its size: the limit of
         single bodies applies to it.
@@ -43,7 +43,10 @@
         """
         if n_bytes <= SMALL_BODY_BYTES:
             return True
-        n_others = self._n_bytes - self._n_bytes_by_holder.get(holder, 0)
+        n_reserved = self._n_bytes_by_holder.get(holder, 0)
+        if n_bytes <= n_reserved:
+            return True
+        n_others = self._n_bytes - n_reserved
         if n_others and n_others + n_bytes > self.limit_bytes:
             return False
         self._n_bytes_by_holder[holder] = n_bytes
--- a/burdockhitch/platform/callers.py
+++ b/burdockhitch/platform/callers.py
@@ -122,6 +122,8 @@
         """Write the refusal, unless it is written; the connection closes after it."""
         if self.startedWriting:
             return
+        # It isn't known to the request before all of it has arrived.
+        self.clientproto = b"HTTP/1.1"
         self.channel.persistent = False
         self.setHeader("connection", "close")
         detail = "this VM has no memory left for the body"
--- a/burdockhitch/tests/test_platform_callers.py
+++ b/burdockhitch/tests/test_platform_callers.py
@@ -116,6 +116,7 @@
     assert len(refused) == n_uploads - n_taken
     for channel in refused:
         answer = channel.transport.value().lower()
+        assert answer.startswith(b"http/1.1 503 ")
         assert b"not-run" in answer and b"retry-after: 0.5" in answer
         assert b"connection: close" in answer
     for channel in channels:
@@ -129,9 +130,9 @@
 def test_a_body_without_room_is_refused_from_its_head_and_then_discarded():
     process = make_process(memory_mb=102.0)
     first, second = connect_caller(process), connect_caller(process)
-    first.dataReceived(make_head(900_000))
+    first.dataReceived(make_head(900_000) + b"a")
     second.dataReceived(make_head(900_000))
-    assert b"503" in second.transport.value()
+    assert second.transport.value().startswith(b"HTTP/1.1 503 ")
     assert not second.transport.disconnecting
     second.dataReceived(b"a" * 900_000)
     assert second.transport.disconnecting
