Restate a limit more often just after it has changed

What callers saw: while three in ten messages between VMs are lost, some VMs kept a limit of a server 8 s after its end, and refused or delayed requests that it would have taken.

Cause: a change is reported once and then every 2 s, each time to each VM by one or two messages that may be lost.

Change: limits are restated each half second in the first 3 s after a change.

--- a/burdockhitch/systems/direct/server_limits.py
+++ b/burdockhitch/systems/direct/server_limits.py
@@ -16,6 +16,9 @@
 
 # Time after which a VM that gets an answer reports a limit again, if no other VM did.
 RESTATE_S = 2.0
+# The same in the first seconds after a change, which VMs that lost the report learn late.
+RESTATE_CHANGED_S = 0.5
+CHANGED_S = 3.0
 # Most limits of one report, so that it fits into a datagram without fragmentation.
 STATEMENTS_MAX = 24
 
@@ -73,8 +76,11 @@
     now_s = now.monotonic_s
     row = ServerLimitRow(event.server_id, service, event.limit_per_s, now_s)
     is_known = held is not None and held.limit_per_s == event.limit_per_s
-    if held is not None and is_known and now_s - held.reported_at_s < RESTATE_S:
-        row = held._replace(stated_at_s=now_s)
+    if held is not None and is_known:
+        is_changed = now_s - held.changed_at_s < CHANGED_S
+        restate_s = RESTATE_CHANGED_S if is_changed else RESTATE_S
+        if now_s - held.reported_at_s < restate_s:
+            row = held._replace(stated_at_s=now_s)
     if _apply_statement(world, row, world.local.vm_id, now):
         assign_shares(world, service, now)
 
