--- a/burdockhitch/systems/direct/server_limits.py
+++ b/burdockhitch/systems/direct/server_limits.py
@@ -16,7 +16,7 @@
 
 # Time after which a VM that gets an answer reports a limit again, if no other VM did.
 RESTATE_S = 2.0
-# The same in the first seconds after a change, which VMs that lost the report learn late.
+# The same in the first seconds after a change, as reports of it may be lost.
 RESTATE_CHANGED_S = 0.5
 CHANGED_S = 3.0
 # Most limits of one report, so that it fits into a datagram without fragmentation.
