Don't take an error answer as proof that a request is harmless

What callers could have seen: a gray server that answers 500 without running what it is asked cleared a request under which servers end, and the VM that got the answer blamed it for no further end while it remembered the answer.

Cause: any whole answer counted as one that speaks for the request.

--- a/burdockhitch/systems/direct/answers.py
+++ b/burdockhitch/systems/direct/answers.py
@@ -118,7 +118,8 @@
             record_run_time(world, attempt, now)
         row = _detach_attempt(world, attempt)
         if row is not None:
-            record_answered_request(world, row, now)
+            if not is_error:
+                record_answered_request(world, row, now)
             _handle_answer(world, row, event.answer, is_error, now)
 
 
--- a/burdockhitch/systems/direct/poison_requests.py
+++ b/burdockhitch/systems/direct/poison_requests.py
@@ -2,10 +2,10 @@
 
 A request is known by a digest of what it asks, since callers repeat it under other
 identities. The end of a server's process while the request was open there is evidence,
-which all VMs share; after two ends it is refused everywhere. A whole answer shows that
-it is harmless: so a request that many callers send isn't refused because it was open
-on servers that ended for another reason. After a while one VM sends it again, and its
-answer, or another end, decides for all.
+which all VMs share; after two ends it is refused everywhere. A successful answer shows
+that it is harmless: so a request that many callers send isn't refused because it was
+open on servers that ended for another reason. After a while one VM sends it again, and
+its answer, or another end, decides for all.
 """
 
 import hashlib
@@ -102,7 +102,10 @@
 
 
 def record_answered_request(world: World, row: RequestRow, now: Instant) -> None:
-    """Record that a server answered a request, so that the request is harmless."""
+    """Record that a server ran a request to its end, so that it is harmless.
+
+    An error answer doesn't show that: a failing server may give it without a run.
+    """
     digest = digest_request(row.message)
     _remember_answered(world, digest, now)
     if digest in world.suspect_requests:
--- a/burdockhitch/tests/test_direct_poison_requests.py
+++ b/burdockhitch/tests/test_direct_poison_requests.py
@@ -66,6 +66,20 @@
     assert REFUSED not in {fleet.status(connection) for connection in sound}
 
 
+# A gray server answers without running what it is asked.
+@pytest.mark.parametrize("seed", range(4))
+def test_an_error_answer_does_not_clear_a_request_that_ends_servers(seed):
+    fleet = start_poisoned(seed=seed, n_tries_max=1)
+    for number in range(12):
+        fleet.poison_paths = set() if number % 3 == 0 else {POISON}
+        behaviour = "error" if number % 3 == 0 else "ok"
+        fleet.behaviour_by_server = dict.fromkeys(fleet.registry.servers, behaviour)
+        connection = fleet.send("vm-0", POISON)
+        fleet.run(0.5)
+    assert len(fleet.poison_ends) <= ENDS_ALLOWED
+    assert fleet.status(connection) == REFUSED
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_a_sound_request_beside_a_harmful_one_is_served_again_soon(seed):
     fleet = start_poisoned(seed=seed)
