--- a/burdockhitch/systems/direct/addresses.py
+++ b/burdockhitch/systems/direct/addresses.py
@@ -30,9 +30,9 @@
     and silent ones if there are fewer than ``OFFERS_MIN`` others.
     """
     accepting = [vm for vm in world.vms if accepts_callers(vm)]
-    heard = [vm for vm in accepting if not is_silent(world, vm, now)]
-    same_zone = [vm for vm in heard if vm.zone == zone]
-    chosen = same_zone if len(same_zone) >= SAME_ZONE_VMS_MIN else heard
+    live = [vm for vm in accepting if not is_silent(world, vm, now)]
+    same_zone = [vm for vm in live if vm.zone == zone]
+    chosen = same_zone if len(same_zone) >= SAME_ZONE_VMS_MIN else live
     n_missing = OFFERS_MIN - len(chosen)
     if n_missing > 0:
         silent = [vm for vm in accepting if is_silent(world, vm, now)]
--- a/burdockhitch/systems/direct/membership.py
+++ b/burdockhitch/systems/direct/membership.py
@@ -171,10 +171,10 @@
 
 
 def is_silent(world: World, vm: VmRow, now: Instant) -> bool:
-    """Return whether a VM was not heard for so long that it has failed or is cut off.
+    """Return whether a VM sent nothing for so long that it has failed or is cut off.
 
-    A silent VM isn't marked dead while this VM hears none, as then this VM may be the
-    one that is cut off.
+    A silent VM isn't marked dead while no VM sends messages, as then this VM may be
+    the one that is cut off.
     """
     factor = 1 if vm.zone == world.local.zone else OTHER_ZONE_FACTOR
     return now.monotonic_s - vm.status_updated_at_s > HEARTBEAT_TIMEOUT_S * factor
--- a/burdockhitch/systems/direct/poison_requests.py
+++ b/burdockhitch/systems/direct/poison_requests.py
@@ -17,7 +17,7 @@
 from burdockhitch.direct_messages import PoisonRequests, RequestEvidence
 from burdockhitch.errors import AnswerLostError
 from burdockhitch.messages import RequestMessage
-from burdockhitch.systems.direct.registry_reads import rank_among_heard
+from burdockhitch.systems.direct.registry_reads import rank_among_live
 from burdockhitch.systems.direct.reports import live_peers
 from burdockhitch.systems.direct.zone_reports import (
     is_from_this_zone,
@@ -298,7 +298,7 @@
 
 @system(Phase.ACCOUNTING, DIRECT)
 def report_request_evidence(world: World, now: Instant) -> None:
-    """Tell this zone, and two VMs of each other one, at once what is new."""
+    """Report new evidence at once to this zone and to two VMs of each other one."""
     if not len(world.unreported_requests):
         return
     rows = list(world.unreported_requests)[:EVIDENCE_MAX]
@@ -319,7 +319,7 @@
         return
     due_s = now.monotonic_s + REPEAT_PERIOD_S
     start_timer(world, TimerKind.POISON_REQUESTS, REPEAT, due_s)
-    if rank_among_heard(world, now) < REPEATERS:
+    if rank_among_live(world, now) < REPEATERS:
         newest = sorted(refused, key=lambda row: row.ended_at_s)[-EVIDENCE_MAX:]
         evidence = tuple(_make_evidence(world, row.digest, now) for row in newest)
         _broadcast(world, _zone_addresses(world), PoisonRequests(evidence))
--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -48,12 +48,12 @@
 WATCH_MIN_S = 0.15
 # A reader announces each answer of the platform, so this allows for a late answer or
 # announcement. It bounds how late a zone learns of a change whose readers are cut off
-# or lost: no VM waits longer for VMs that it doesn't hear.
+# or lost: no VM waits longer for VMs that send no messages.
 READER_STALE_S = WATCH_PERIOD_S / 2 + 0.35
 # How much later each further VM in rank takes over, unless it hears that one before it
 # gets answers.
 READER_RANK_DELAY_S = 0.15
-# Most VMs of a zone that may read: the first ones in rank that are heard.
+# Most VMs of a zone that may read: the first ones in rank that send messages.
 READERS_MAX = 3
 # Pause between an answer of the platform and the next watch, without and with changes.
 # Each change that a reader applies is copied by all VMs of its zone, so those of the
@@ -78,7 +78,7 @@
 
 @functools.cache
 def rank_in_zone(zone: str, vm_id: str) -> bytes:
-    """Return a VM's sort key in its zone; the lowest heard VM does zone-wide tasks."""
+    """Return a VM's sort key in its zone; the lowest live VM does zone-wide tasks."""
     return hashlib.blake2b(f"{zone}|{vm_id}".encode(), digest_size=8).digest()
 
 
@@ -93,33 +93,35 @@
     ]
 
 
-def rank_among_heard(world: World, now: Instant) -> int:
-    """Return how many better-ranked VMs of this zone were heard lately."""
+def rank_among_live(world: World, now: Instant) -> int:
+    """Return how many better-ranked VMs of this zone sent messages lately."""
     return sum(not is_silent(world, vm, now) for vm in better_ranked_vms(world))
 
 
 def is_first_in_zone(world: World, now: Instant) -> bool:
-    """Return whether this VM does zone-wide tasks: no better-ranked VM was heard."""
-    return rank_among_heard(world, now) == 0
+    """Return whether this VM does zone-wide tasks: no better-ranked one is live."""
+    return rank_among_live(world, now) == 0
 
 
 def _reader_from_s(world: World) -> float:
     """Return the monotonic time from which this VM has to read the registry.
 
     It is in the past for the best-ranked VM. For others it is the time at which too few
-    better-ranked VMs are left that were heard lately, unless more is heard of them.
+    better-ranked VMs will have sent a message lately, unless more messages arrive.
     """
     better = better_ranked_vms(world)
     answered_at_s = max(
         (vm.status_updated_at_s - vm.platform_answer_age_s for vm in better),
         default=-math.inf,
     )
-    heard_at_s = sorted((vm.status_updated_at_s for vm in better), reverse=True)
+    received_at_s = sorted((vm.status_updated_at_s for vm in better), reverse=True)
     from_s = math.inf
-    for n_heard in range(READERS_MAX):
-        # From the time at which at most so many of them count as heard.
-        silent_at_s = heard_at_s[n_heard] if n_heard < len(heard_at_s) else -math.inf
-        rank_delay_s = READER_RANK_DELAY_S * max(0, n_heard - 1)
+    for n_live in range(READERS_MAX):
+        # From the time at which at most so many of them count as live.
+        silent_at_s = (
+            received_at_s[n_live] if n_live < len(received_at_s) else -math.inf
+        )
+        rank_delay_s = READER_RANK_DELAY_S * max(0, n_live - 1)
         due_s = max(silent_at_s, answered_at_s + rank_delay_s) + READER_STALE_S
         from_s = min(from_s, due_s)
     return from_s
@@ -128,10 +130,10 @@
 def is_reader(world: World, now: Instant) -> bool:
     """Return whether this VM has to read the platform's registry.
 
-    It does if it is among the first READERS_MAX in rank of the VMs that were heard in
-    the last READER_STALE_S, and by their own reports the platform has not answered any
-    better-ranked VM for that long. VMs that are silent may not read, whether they
-    have failed or this VM is cut off from them.
+    It does if it is among the first READERS_MAX in rank of the VMs that sent it a
+    message in the last READER_STALE_S, and by their own reports the platform has not
+    answered any better-ranked VM for that long. Whether silent VMs read is unknown:
+    they may have failed, or this VM may be cut off from them.
     """
     return now.monotonic_s > _reader_from_s(world)
 
--- a/burdockhitch/tables/poison_requests.py
+++ b/burdockhitch/tables/poison_requests.py
@@ -47,7 +47,7 @@
 
 
 class UnreportedRequestRow(NamedTuple):
-    """A request of which this VM has news that it has not told others.
+    """A request with evidence that this VM hasn't reported yet.
 
     Attributes:
         digest: Digest of the request.
@@ -67,5 +67,5 @@
 
 
 def make_unreported_requests() -> Table[UnreportedRequestRow]:
-    """Return an empty table of requests with unreported news."""
+    """Return an empty table of requests with unreported evidence."""
     return Table(UnreportedRequestRow, key="digest")
