--- a/burdockhitch/tests/test_platform_store.py
+++ b/burdockhitch/tests/test_platform_store.py
@@ -33,7 +33,7 @@
     monkeypatch.setattr(store, "send_internal_request", call)
     world = start_fleet(n_vms=1).worlds["vm-0"]
     process = PlatformProcess(
-        world, None, RecordingTicker(), {}, {}, None, None, [], iter(range(9))
+        world, None, RecordingTicker(), {}, {}, None, None, [], iter(range(9)), []
     )
     command = commands.ReadRegistry("op", RegistryPart.SERVERS, after_version, 1.0)
     store.read_registry(process, command)
