Fill the memory into the settings template of the demo and the process tests

What was seen: make demo, and the tests that start VMs on the stand-ins of the platform, ended with KeyError limits.memoryMb, since deploy/node.ini has this field now. Found by running the README's commands in a fresh clone.

--- a/tools/platform_fleet.py
+++ b/tools/platform_fleet.py
@@ -144,6 +144,7 @@
         "listen.readiness": f"{ip}:{readiness_port}",
         "internalPorts.0": message_port,
         "limits.linkMbps": "1000",
+        "limits.memoryMb": "300",
         "platform.address": store,
         "seeds": f"127.0.1.1:{admin_port}",
         "bounds.drainS": "2",
