--- a/review/9/run.py
+++ b/review/10/run.py
@@ -1,19 +1,14 @@
 """A server in need names its limit as a decimal number with many digits."""
 
 import asyncio
-import os
-import sys
 import time
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+from review.stand.backend import Backend
+from review.stand.case import HAS_TROUBLE, Result, run_case
+from review.stand.client import send
+from review.stand.fleet import Fleet, make_configuration
+from review.stand.store import Store
 
-from review.stand.backend import Backend  # noqa: E402
-from review.stand.client import send  # noqa: E402
-from review.stand.fleet import CaseError, Fleet, make_configuration  # noqa: E402
-from review.stand.store import Store  # noqa: E402
-
-HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # Eight requests in three seconds, as a server writes the quotient.
 LIMIT_PER_S = 8 / 3
 LIMIT_TEXT = str(LIMIT_PER_S) if HAS_TROUBLE else f"{LIMIT_PER_S:.3f}"
@@ -43,6 +38,7 @@
         self.is_over = False
 
     async def start(self):
+        """Start the servers and the machines."""
         await self.store.start()
         self.fleet = Fleet(self.store)
         route = {"name": "slot-lookup", "prefix": "/look/", "service": "bokning"}
@@ -75,7 +71,8 @@
             self.known_at.setdefault(vm.name, answer.ended_at)
 
 
-async def main():
+async def play():
+    """Play the case and return its result."""
     case = Case()
     limited = case.servers[0]
     try:
@@ -89,7 +86,8 @@
         await traffic
         # Of machines that had passed on such an answer half a second before.
         times = sorted(
-            at_s for at_s, request_id in limited.arrivals
+            at_s
+            for at_s, request_id in limited.arrivals
             if at_s > named_at + STABLE_WINDOW_S
             and case.known_at.get(request_id.split("/")[0], at_s) < at_s - KNOWN_S
         )
@@ -100,7 +98,6 @@
         allowed = 1.5 * LIMIT_PER_S * WINDOW_S + 5
         is_broken = worst > allowed
         lines = [
-            f"trouble: {HAS_TROUBLE}",
             f"header: Server-Limit: {LIMIT_TEXT}",
             f"requests for the service, of three servers: {REQUESTS_PER_S} a second;"
             f" answered 200: {case.statuses.count(200)} of {len(case.statuses)}",
@@ -110,20 +107,12 @@
             f" named it: {len(times)} in {NEED_S - STABLE_WINDOW_S} s",
             f"most in {WINDOW_S} s: {worst}, from {begin_s - named_at:.2f} s after it"
             f" first named it; allowed {allowed:.1f}",
-            f"result: {'broken' if is_broken else 'held'}",
         ]
-        Path(__file__).with_name("record.txt").write_text("\n".join(lines) + "\n")
-        print("\n".join(lines))
-        return 1 if is_broken else 0
+        return Result(lines, is_broken)
     finally:
         if case.fleet is not None:
             case.fleet.stop()
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(main())
-    except CaseError as error:
-        print(f"the case could not run: {error}")
-        code = 2
-    sys.exit(code)
+    run_case(__file__, play)
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,19 +1,14 @@
 """Three of nine machines are cut off from the store, and the others learn nothing."""
 
 import asyncio
-import os
-import sys
 import time
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
+from review.stand.backend import Backend
+from review.stand.case import HAS_TROUBLE, Result, run_case
+from review.stand.client import send
+from review.stand.fleet import Fleet, make_configuration
+from review.stand.store import Store
 
-from review.stand.backend import Backend  # noqa: E402
-from review.stand.client import send  # noqa: E402
-from review.stand.fleet import CaseError, Fleet, make_configuration  # noqa: E402
-from review.stand.store import Store  # noqa: E402
-
-HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONE = "vastkust-a"
 N_VMS = 9
 # A third of the machines; the pages allow 0.35.
@@ -47,6 +42,7 @@
         return Backend(f"i-{service}-{number}", service, run_s=0.05, zone=ZONE)
 
     async def start(self):
+        """Start the servers and the machines."""
         await self.store.start()
         self.fleet = Fleet(self.store)
         for server in [*self.old, *self.new, *self.desk]:
@@ -61,6 +57,7 @@
         await self.fleet.wait_ready()
 
     def put_configuration(self, version, service):
+        """Write a configuration that sends look-ups to a service."""
         routes = [
             {"name": "lookup", "prefix": "/look/", "service": service},
             {"name": "hold", "prefix": "/hold/", "service": "desk", "kind": "unsafe"},
@@ -91,7 +88,8 @@
     def find_late(self, servers, from_s):
         """Return requests of machines in touch that were sent late and reached them."""
         in_touch = {
-            f"m{n}" for n in range(1, N_VMS + 1)
+            f"m{n}"
+            for n in range(1, N_VMS + 1)
             if not HAS_TROUBLE or n not in CUT_NUMBERS
         }
         return sorted(
@@ -102,6 +100,11 @@
         )
 
 
+def count_watches(door, from_s):
+    """Return how many watches of the store came through a door from a time on."""
+    return sum("rows-feed" in target for at_s, _, target in door.calls if at_s > from_s)
+
+
 def describe_last(rows, bound_s):
     """Return when the last of some late requests was sent, as a part of a line."""
     if not rows:
@@ -109,7 +112,8 @@
     return f"; the last was sent {max(rows)[0] + bound_s:.2f} s after it"
 
 
-async def main():
+async def play():
+    """Play the case and return its result."""
     case = Case()
     try:
         await case.start()
@@ -139,13 +143,12 @@
         drained = case.find_late([leaving], acked_at + DRAIN_S)
         is_broken = bool(late or drained)
         feeds = [
-            f"machine {n}: {sum('rows-feed' in c[2] for c in door.calls if c[0] > cut_at)}"
+            f"machine {n}: {count_watches(door, cut_at)}"
             for n, door in case.doors.items()
         ]
         last_old = describe_last(late, CONFIG_APPLY_S)
         last_drained = describe_last(drained, DRAIN_S)
         lines = [
-            f"trouble: {HAS_TROUBLE}",
             f"machines: {N_VMS}, cut off from the store for {CUT_S} s:"
             f" {CUT_NUMBERS if HAS_TROUBLE else 'none'}",
             f"requests sent: {len(case.sent)}, answered 200:"
@@ -158,22 +161,16 @@
             f" {len(very_late)}",
             f"DRAIN: {len(drained)} requests, sent so later than {DRAIN_S} s after the"
             f" acknowledgement, reached the draining server{last_drained}",
-            *(f"  {late_s:.2f} s after the bound: {request_id} at {server_id}"
-              for late_s, request_id, server_id in [*late[:5], *drained[:5]]),
-            f"result: {'broken' if is_broken else 'held'}",
+            *(
+                f"  {late_s:.2f} s after the bound: {request_id} at {server_id}"
+                for late_s, request_id, server_id in [*late[:5], *drained[:5]]
+            ),
         ]
-        Path(__file__).with_name("record.txt").write_text("\n".join(lines) + "\n")
-        print("\n".join(lines))
-        return 1 if is_broken else 0
+        return Result(lines, is_broken)
     finally:
         if case.fleet is not None:
             case.fleet.stop()
 
 
 if __name__ == "__main__":
-    try:
-        code = asyncio.run(main())
-    except CaseError as error:
-        print(f"the case could not run: {error}")
-        code = 2
-    sys.exit(code)
+    run_case(__file__, play)
--- a/review/stand/backend.py
+++ b/review/stand/backend.py
@@ -9,10 +9,6 @@
 IDLE_S = 10
 
 
-class Run(tuple):
-    """A request that a server began to work on: time, id, method, path and body."""
-
-
 class Backend:
     """A sound server; ``headers`` are added to each of its answers.
 
@@ -43,7 +39,8 @@
     async def start(self, host="127.0.0.1", port=0):
         """Listen on a port."""
         self._server = await asyncio.start_server(self._serve, host, port)
-        self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
 
     def register(self, store):
         """Write the entry of this server into the store."""
--- a/review/stand/client.py
+++ b/review/stand/client.py
@@ -21,8 +21,9 @@
         self.error = error
 
 
-def make_request(request_id, path="/look/1", method="GET", body=b"", deadline_ms=4000,
-                 headers=()):
+def make_request(
+    request_id, path="/look/1", method="GET", body=b"", deadline_ms=4000, headers=()
+):
     """Return the bytes of a request."""
     lines = [
         f"{method} {path} HTTP/1.1",
--- a/review/stand/fleet.py
+++ b/review/stand/fleet.py
@@ -44,9 +44,7 @@
 class Vm:
     """An entry VM."""
 
-    def __init__(
-        self, fleet, number, zone="a", bounds=None, memory_mb="300", store=""
-    ):
+    def __init__(self, fleet, number, zone="a", bounds=None, memory_mb="300", store=""):
         self.fleet = fleet
         self.name = f"front-{zone}-{number}"
         self.ip = f"{fleet.network}.{number}"
@@ -75,7 +73,8 @@
     def start(self):
         """Start the process with the line ``run`` of the deploy file."""
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG")
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
             if name in os.environ
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
--- a/review/stand/store.py
+++ b/review/stand/store.py
@@ -52,7 +52,8 @@
             lambda reader, writer: self._serve(door, reader, writer), host, 0
         )
         self._servers.append(server)
-        door.address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        host, port = server.sockets[0].getsockname()[:2]
+        door.address = f"{host}:{port}"
         return door
 
     def put(self, table, key, document):
@@ -127,7 +128,9 @@
         rows = sorted(
             (key, version, value)
             for (table, key), (version, value) in self.rows.items()
-            if table == query["table"] and value is not None and key >= first
+            if table == query["table"]
+            and value is not None
+            and key >= first
             and (last is None or key < last)
         )
         page = [{"key": k, "ver": v, "value": x} for k, v, x in rows[:limit]]
