--- a/review/stand/uploads.py
+++ b/review/stand/uploads.py
@@ -36,14 +36,17 @@
     """Two machines before servers of one service, and what their clients saw.
 
     Args:
-        n_servers: Number of servers, with four slots each.
+        n_servers: Number of servers.
+        n_slots: Requests that each runs at once.
+        n_queued: Requests that wait at each.
+        run_s: Time that a request takes.
     """
 
-    def __init__(self, n_servers):
+    def __init__(self, n_servers, n_slots=4, n_queued=16, run_s=0.29):
         self.store = Store()
         self.fleet = None
         self.servers = [
-            Backend(f"i-{n}", "bokning", run_s=0.29, slots=4, queue=16)
+            Backend(f"i-{n}", "bokning", run_s=run_s, slots=n_slots, queue=n_queued)
             for n in range(n_servers)
         ]
         self.vms = []
