Accept any number of digits in limits and pauses of servers

Cause: DECIMAL_NUMBER took at most nine digits behind the point. A malformed limit counts as not stated. Each answer left statement_rejected in the logs. Ruled out: shares of VMs and messages between them, as 2.667 is kept with the same servers and load. Retry-After of a refusal had the same cause.

Change: numbers in headers are decoded by platform/numbers.py, with any number of digits; numbers from 10^9, signs and exponents stay malformed.

--- a/burdockhitch/platform/statements.py
+++ b/burdockhitch/platform/statements.py
@@ -1,6 +1,5 @@
 """What backend servers state about themselves in the headers of their answers."""
 
-import re
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -9,9 +8,11 @@
 from burdockhitch.adapters.headers import HeaderPairs
 from burdockhitch.errors import DocumentError
 from burdockhitch.platform import names
+from burdockhitch.platform.numbers import decode_decimal
 
 STATUS_UNAVAILABLE = 503
-DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+# Larger numbers count as malformed.
+NUMBER_END = 1e9
 DETAIL_MAX_CHARACTERS = 80
 
 
@@ -36,13 +37,15 @@
     """Return the values of a header that holds a decimal number.
 
     Raises:
-        DocumentError: If a value is not a decimal number.
+        DocumentError: If a value is not a decimal number below ``NUMBER_END``.
     """
-    texts = [value for name, value in headers if name == header]
-    for text in texts:
-        if DECIMAL_NUMBER.fullmatch(text) is None:
+    numbers = []
+    for text in [value for name, value in headers if name == header]:
+        number = decode_decimal(text)
+        if number is None or number >= NUMBER_END:
             raise DocumentError(header, text[:DETAIL_MAX_CHARACTERS])
-    return [float(text) for text in texts]
+        numbers.append(number)
+    return numbers
 
 
 def _decode_limit(answer: HttpAnswer) -> float | None:
