Accept fractions and any number of digits in a caller's deadline

Callers saw: a Deadline-Ms of 1200.25 counted as no deadline, so the request was passed on with the route's timeout (more time than is left, BUDGET); one of 309 digits or more ended the handler of the request with OverflowError, one of 4,301 with ValueError, and Twisted answered 500.

Ruled out: the decisions, which bound an infinite deadline by the route's timeout.

Change: the deadline is decoded by platform/numbers.py; what is no decimal number, or too large for a float, counts as none, as before.

Measured: three of the seven cases of test_a_deadline_counts_with_any_number_of_digits fail before the change, none after it.

--- a/burdockhitch/platform/callers.py
+++ b/burdockhitch/platform/callers.py
@@ -17,6 +17,7 @@
 from burdockhitch.messages import Refusal, RequestMessage
 from burdockhitch.platform import names
 from burdockhitch.platform.documents import WireAddresses
+from burdockhitch.platform.numbers import decode_decimal
 from burdockhitch.platform.process import PlatformProcess, command_handlers
 from burdockhitch.problems import make_problem_document, problems
 from burdockhitch.systems.direct.membership import is_leaving
@@ -130,8 +131,8 @@
 
 def _remaining_s(pairs: headers.HeaderPairs) -> float:
     """Return the time left until the caller's deadline; infinite without one."""
-    text = headers.find_header(pairs, names.DEADLINE_MS)
-    return int(text) / 1000 if text.isdecimal() else math.inf
+    remaining_ms = decode_decimal(headers.find_header(pairs, names.DEADLINE_MS))
+    return math.inf if remaining_ms is None else remaining_ms / 1000
 
 
 def _digest_request_key(request: Any) -> str:
--- a/burdockhitch/tests/test_platform_callers.py
+++ b/burdockhitch/tests/test_platform_callers.py
@@ -1,5 +1,6 @@
 """Tests what the callers' interface on the platform makes of requests with bodies."""
 
+import math
 from itertools import count
 from types import SimpleNamespace
 
@@ -96,6 +97,27 @@
     assert posted_bodies(process) == [body]
 
 
+@pytest.mark.parametrize(
+    ("text", "remaining_s"),
+    [
+        ("1200", 1.2),
+        ("1200.25", 1.20025),
+        ("0", 0.0),
+        ("9" * 400, math.inf),
+        ("9" * 5000, math.inf),
+        ("-1", math.inf),
+        ("x", math.inf),
+    ],
+    ids=["whole", "fraction", "zero", "overflow", "too long for int", "sign", "text"],
+)
+def test_a_deadline_counts_with_any_number_of_digits(text, remaining_s):
+    # Guards against deadlines that are dropped, or end the handler of the request.
+    process = make_process()
+    head = make_head(0).replace(b"\r\n\r\n", b"\r\nDeadline-Ms: %b\r\n\r\n")
+    connect_caller(process).dataReceived(head % text.encode())
+    assert [event.remaining_s for event in process.ticker.events] == [remaining_s]
+
+
 def answer_all(process):
     """Answer all open requests."""
     for connection_id in list(process.callers):
