Bound the idle time of a connection whatever the server's number is

Callers saw: an answer with Keep-Alive: timeout= and 309 digits or more was received whole, but ended its connection with OverflowError (ValueError from 4,301 digits), so the request counted as failed.

Cause: the number was decoded by int, and its product with a float overflows. Ruled out: heads of that size, which the exchange accepts up to 64 KiB; other integers of answers, which h11 bounds to 20 digits or the pattern of the status line to three.

Change: the number is decoded by float, which gives infinity, and the existing maximum applies.

Measured: two new cases of test_the_idle_time_is_shorter_than_the_servers_keep_alive_timeout fail before the change, none after it.

--- a/burdockhitch/adapters/exchange.py
+++ b/burdockhitch/adapters/exchange.py
@@ -440,5 +440,6 @@
     for part in header.split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.strip().isdecimal():
-            return min(IDLE_TIMEOUT_MAX_S, IDLE_TIMEOUT_FRACTION * int(value))
+            # An integer may have more digits than ``int`` decodes.
+            return min(IDLE_TIMEOUT_MAX_S, IDLE_TIMEOUT_FRACTION * float(value))
     return IDLE_TIMEOUT_MAX_S
--- a/burdockhitch/tests/test_exchange.py
+++ b/burdockhitch/tests/test_exchange.py
@@ -153,6 +153,10 @@
         ("timeout=600", IDLE_TIMEOUT_MAX_S),
         ("timeout=0", 0.0),
         ("timeout=x", IDLE_TIMEOUT_MAX_S),
+        # Numbers that are too large for an int or a float ended the connection.
+        pytest.param(f"timeout={'9' * 400}", IDLE_TIMEOUT_MAX_S, id="overflow"),
+        pytest.param(f"timeout={'9' * 5000}", IDLE_TIMEOUT_MAX_S, id="too long"),
+        ("timeout=²", IDLE_TIMEOUT_MAX_S),
     ],
 )
 def test_the_idle_time_is_shorter_than_the_servers_keep_alive_timeout(header, keep_s):
