Let every VM of a zone read the registry if the ones before it get no answers

Cause: only the first three live VMs in rank were allowed to read, whatever they reported of the store. Evidence: the six other VMs made no call to the store from the cut on, the three that were cut off 11 to 15 each. That rules out changes that are read and dropped, and copies that don't arrive. The store can turn the first VMs of all zones away at once, with the same effect.

Change: a VM takes over the later the more better-ranked VMs are live; the number of VMs that try doubles each 0.15 s until one reports an answer. After a failed read, all but the first two of a zone retry in turn, one in 0.75 s, so the calls of a zone don't grow with its VMs. Such a VM takes the start of its first successful read for the end of the outage; its last failure is too old for that, and servers would be removed before they could be listed again.

--- a/burdockhitch/systems/direct/registry_reads.py
+++ b/burdockhitch/systems/direct/registry_reads.py
@@ -1,7 +1,8 @@
 """Decides which VMs read the platform's registry, and applies what was read.
 
-One VM per zone watches the registry, and the others copy from that VM. If it gets
-no answers, the next in rank takes over, so few VMs query a platform that is down.
+One VM per zone watches the registry, and the others copy from that VM. While it gets
+no answers, more and more VMs try in the order of their rank, until one gets an answer.
+Those of lower rank retry in turn, so a platform that is down gets few calls.
 """
 
 import functools
@@ -51,11 +52,12 @@
 # announcement. It bounds how late a zone learns of a change whose readers are cut off
 # or lost: no VM waits longer for VMs that send no messages.
 READER_STALE_S = WATCH_PERIOD_S / 2 + 0.35
-# How much later each further VM in rank takes over, unless it hears that one before it
-# gets answers.
-READER_RANK_DELAY_S = 0.15
-# Most VMs of a zone that may read: the first ones in rank that send messages.
-READERS_MAX = 3
+# Time in which the number of VMs that try doubles, unless one of them gets answers.
+TAKEOVER_DOUBLING_S = 0.15
+# The first VMs in rank that send messages retry after the usual delay. The further ones
+# of the zone share one retry in each period, however many they are.
+FREQUENT_READERS_MAX = 2
+FURTHER_RETRY_PERIOD_S = 0.75
 # Pause between an answer of the platform and the next watch, without and with changes.
 # Each change that a reader applies is copied by all VMs of its zone, so those of the
 # longer pause are copied together.
@@ -83,15 +85,17 @@
     return hashlib.blake2b(f"{zone}|{vm_id}".encode(), digest_size=8).digest()
 
 
+def alive_vms_of_zone(world: World) -> list[VmRow]:
+    """Return the alive VMs of this zone."""
+    same_zone = world.vms.select("zone", world.local.zone)
+    return [vm for vm in same_zone if vm.status is VmStatus.ALIVE]
+
+
 def better_ranked_vms(world: World) -> list[VmRow]:
     """Return the alive VMs of this zone that rank before this one."""
     zone = world.local.zone
     own = rank_in_zone(zone, world.local.vm_id)
-    return [
-        vm
-        for vm in world.vms.select("zone", zone)
-        if vm.status is VmStatus.ALIVE and rank_in_zone(zone, vm.vm_id) < own
-    ]
+    return [vm for vm in alive_vms_of_zone(world) if rank_in_zone(zone, vm.vm_id) < own]
 
 
 def rank_among_live(world: World, now: Instant) -> int:
@@ -104,11 +108,46 @@
     return rank_among_live(world, now) == 0
 
 
+def _takeover_delay_s(n_live: int) -> float:
+    """Return how much later than the next in rank a VM takes over.
+
+    Args:
+        n_live: Number of better-ranked VMs that are live.
+    """
+    n_doublings = max(0, n_live - 1).bit_length()
+    return TAKEOVER_DOUBLING_S * n_doublings
+
+
+def _last_failed_at_s(world: World) -> float:
+    """Return when this VM's last read failed, of those parts that still fail."""
+    return max(
+        (view.read_failed_at_s for view in world.registry_views if view.n_failures),
+        default=-math.inf,
+    )
+
+
+def _retry_from_s(failed_at_s: float, n_live: int, n_vms: int) -> float:
+    """Return the earliest monotonic time for the next read after a failed one.
+
+    The VMs that retry rarely do so in turn, each in its own period of a cycle.
+
+    Args:
+        failed_at_s: Monotonic time of the failed read; negative infinity for none.
+        n_live: Number of better-ranked VMs that are live.
+        n_vms: Number of alive VMs of the zone, for the length of the cycle.
+    """
+    if n_live < FREQUENT_READERS_MAX or failed_at_s == -math.inf:
+        return -math.inf
+    turn_s = FURTHER_RETRY_PERIOD_S * n_live
+    return failed_at_s + (turn_s - failed_at_s) % (FURTHER_RETRY_PERIOD_S * n_vms)
+
+
 def _reader_from_s(world: World) -> float:
     """Return the monotonic time from which this VM has to read the registry.
 
-    It is in the past for the best-ranked VM. For others it is the time at which too few
-    better-ranked VMs will have sent a message lately, unless more messages arrive.
+    It is in the past for the best-ranked VM. For others it is the time at which, for
+    too long, no better-ranked VM will have sent a message or reported an answer of the
+    platform, unless more messages arrive.
     """
     better = better_ranked_vms(world)
     answered_at_s = max(
@@ -116,25 +155,25 @@
         default=-math.inf,
     )
     received_at_s = sorted((vm.status_updated_at_s for vm in better), reverse=True)
+    failed_at_s = _last_failed_at_s(world)
+    n_vms = len(alive_vms_of_zone(world))
     from_s = math.inf
-    for n_live in range(READERS_MAX):
-        # From the time at which at most so many of them count as live.
-        silent_at_s = (
-            received_at_s[n_live] if n_live < len(received_at_s) else -math.inf
-        )
-        rank_delay_s = READER_RANK_DELAY_S * max(0, n_live - 1)
-        due_s = max(silent_at_s, answered_at_s + rank_delay_s) + READER_STALE_S
-        from_s = min(from_s, due_s)
+    # From the time at which at most n_live of them count as live.
+    for n_live, silent_at_s in enumerate([*received_at_s, -math.inf]):
+        unanswered_at_s = answered_at_s + _takeover_delay_s(n_live)
+        due_s = max(silent_at_s, unanswered_at_s) + READER_STALE_S
+        retry_from_s = _retry_from_s(failed_at_s, n_live, n_vms)
+        from_s = min(from_s, max(due_s, retry_from_s))
     return from_s
 
 
 def is_reader(world: World, now: Instant) -> bool:
     """Return whether this VM has to read the platform's registry.
 
-    It does if it is among the first READERS_MAX in rank of the VMs that sent it a
-    message in the last READER_STALE_S, and by their own reports the platform has not
-    answered any better-ranked VM for that long. Whether silent VMs read is unknown:
-    they may have failed, or this VM may be cut off from them.
+    It does if, by their own reports, the platform has not answered any better-ranked VM
+    for READER_STALE_S, and for longer the more of them sent messages in that time:
+    those may have lost the platform while it answers this VM. Whether silent VMs read
+    is unknown: they may have failed, or this VM may be cut off from them.
     """
     return now.monotonic_s > _reader_from_s(world)
 
@@ -197,16 +236,35 @@
         part = RegistryPart(operation.subject)
         view = registry_view(world, part)._replace(operation_id="")
         if event.error is None:
-            _handle_success(world, view, event, now)
+            _handle_success(world, view, event, operation.started_at_s, now)
         else:
             _handle_failure(world, view, event, now)
 
 
+def _lost_until_s(view: RegistryViewRow, started_at_s: float) -> float:
+    """Return until when the platform was probably lost, by the first answer after it.
+
+    Args:
+        view: View whose last read failed.
+        started_at_s: Monotonic time at which the answered read started.
+    """
+    if started_at_s - view.read_failed_at_s <= READER_CHECK_PERIOD_S:
+        return view.read_failed_at_s
+    # The failure is older than those of VMs that retry often, which have not reported
+    # an answer.
+    return started_at_s
+
+
 def _handle_success(
-    world: World, view: RegistryViewRow, event: events.RegistryRead, now: Instant
+    world: World,
+    view: RegistryViewRow,
+    event: events.RegistryRead,
+    started_at_s: float,
+    now: Instant,
 ) -> None:
     if view.n_failures:
         log_event(world, "INFO", "platform_regained", subject=view.part)
+        view = view._replace(read_failed_at_s=_lost_until_s(view, started_at_s))
     view = view._replace(platform_answered_at_s=now.monotonic_s, n_failures=0)
     is_stale = event.version < view.watch_from_version
     if not is_stale:
--- a/burdockhitch/tables/registry_views.py
+++ b/burdockhitch/tables/registry_views.py
@@ -80,7 +80,8 @@
         platform_answered_at_s: Monotonic time of the platform's last answer to this
             VM; 0 for none.
         read_failed_at_s: Monotonic time of this VM's last failed read from the
-            platform; 0 for none.
+            platform, or of the start of the next successful one if that was much later;
+            0 for none.
         restored_at_s: Monotonic time at which this VM learned that the platform's
             store was restored from a copy; 0 if it was not.
         n_failures: Failed reads from the platform since the last successful one.
--- a/burdockhitch/tests/test_direct_registry.py
+++ b/burdockhitch/tests/test_direct_registry.py
@@ -173,6 +173,51 @@
     assert (late_vms, {versions[vm_id] for vm_id in others}) == (set(), {7})
 
 
+def refuse_vms(fleet, vm_ids):
+    fleet.registry.refused_vms |= vm_ids
+
+
+def silence_vms(fleet, vm_ids):
+    fleet.registry.silenced_vms |= vm_ids
+
+
+@pytest.mark.parametrize("changed_after_s", [0.1, 0.5, 1.0, 1.5, 8.0])
+@pytest.mark.parametrize("n_lost", [3, 4, 8, 11])
+@pytest.mark.parametrize("zones", [("a",), ("a", "b")])
+@pytest.mark.parametrize("lose_platform", [refuse_vms, silence_vms])
+def test_changes_reach_zones_whose_best_ranked_vms_lost_the_platform(
+    lose_platform, zones, n_lost, changed_after_s
+):
+    # Guards against zones in which nobody reads because the first VMs in rank, which
+    # are alive and heard, are cut off from the platform or turned away by it.
+    fleet = start_fleet(n_vms=12 * len(zones), n_servers=6, zones=zones)
+    fleet.run(4.0)
+    lost = {vm_id for zone in zones for vm_id in vms_in_rank(fleet, zone)[:n_lost]}
+    lose_platform(fleet, lost)
+    fleet.run(changed_after_s)
+    fleet.add_server("1", is_draining=True)
+    fleet.configure(7, make_route())
+    fleet.run(DRAIN_SPREAD_MAX_S)
+    late_vms = {
+        vm_id
+        for vm_id, world in fleet.worlds.items()
+        if not world.backend_servers.fetch("1").is_draining
+    }
+    versions = set(configuration_versions(fleet).values())
+    assert (late_vms, versions) == (set(), {7})
+
+
+def test_one_further_vm_reads_while_the_best_ranked_ones_lack_the_platform():
+    # Guards against all VMs of a zone reading for good beside those that can't.
+    fleet = start_fleet(n_vms=12)
+    lost = set(vms_in_rank(fleet, "a")[:3])
+    silence_vms(fleet, lost)
+    fleet.run(4.0)
+    now = fleet.clock.now()
+    readers = {vm_id for vm_id, world in fleet.worlds.items() if is_reader(world, now)}
+    assert readers - lost == {vms_in_rank(fleet, "a")[3]}
+
+
 @pytest.mark.parametrize("n_reports", [1, 5])
 def test_reports_of_a_reader_do_not_delay_the_takeover_by_the_next(n_reports):
     fleet = start_fleet(n_vms=2)
@@ -600,6 +645,17 @@
     assert fleet.registry.n_calls - before <= 3 * 3 * 2 * 2 * 4
 
 
+def test_registry_calls_of_a_large_zone_are_bounded_while_the_platform_is_down():
+    # Guards against calls in proportion to the VMs of a zone, of which any may retry.
+    fleet = start_fleet(n_vms=60)
+    refuse_all_vms(fleet)
+    fleet.run(5.0)
+    before = fleet.registry.n_calls
+    fleet.run(4.0)
+    # The bound of one zone in the test above.
+    assert fleet.registry.n_calls - before <= 3 * 2 * 2 * 4
+
+
 def test_registry_calls_are_bounded_without_faults():
     fleet = start_fleet(n_vms=12, zones=ZONES)
     before = fleet.registry.n_calls
