Bound the heads of answers on the native front end

Callers saw: nothing until the VM ran out of memory; then all its requests end.

Cause: only single lines were limited (16 KiB by Twisted, 8 KiB for the status line), not their number.

Change: the checker of status lines follows the head to its end and counts its bytes with those of interim answers; above 64 KiB the connection is aborted, the attempt counts as broken, and answer_rejected is logged. Probes and calls to the platform use the same connections.

--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -116,7 +116,7 @@
 
 @implementer(IStreamClientEndpoint)
 class CheckedEndpoint:
-    """Endpoint whose connections check the status line of an answer.
+    """Endpoint whose connections check the head of an answer.
 
     Args:
         endpoint: Endpoint that connects.
--- a/burdockhitch/adapters/status_lines.py
+++ b/burdockhitch/adapters/status_lines.py
@@ -1,13 +1,14 @@
-"""Checks the status lines of answers, which the HTTP libraries read leniently.
+"""Checks the heads of answers, which the HTTP libraries read leniently.
 
 A server in trouble may send a status such as 000. A library that passes it on lets it
 reach the caller as an answer; ``h11`` takes statuses up to 999, and Twisted takes all
-that Python reads as a number.
+that Python reads as a number. Twisted also keeps header lines without limit.
 """
 
 import re
 
-from burdockhitch.errors import StatusLineError
+from burdockhitch.adapters.answer_limits import HEAD_MAX_BYTES
+from burdockhitch.errors import AnswerLimitError, StatusLineError
 
 # Statuses outside of these classes are invalid (RFC 9110, 15).
 STATUS_MIN = 100
@@ -29,15 +30,21 @@
         raise StatusLineError(f"HTTP/{http_version.decode('latin-1')} {status}")
 
 
-class StatusLineChecker:
-    """Finds the status lines in the bytes of one answer, until the final one.
+class HeadChecker:
+    """Finds the status lines in the bytes of one answer, and the end of its head.
 
-    Interim answers, with a status below 200, end at an empty line.
+    Interim answers, with a status below 200, end at an empty line and count as parts of
+    the head of the final one.
+
+    Attributes:
+        is_done: Whether the head is complete.
     """
 
     def __init__(self) -> None:
         self._buffer = b""
-        self._is_in_interim_head = False
+        self._n_bytes = 0
+        self._is_at_status_line = True
+        self._is_interim = False
         self.is_done = False
 
     def feed(self, data: bytes) -> None:
@@ -45,24 +52,29 @@
 
         Raises:
             StatusLineError: If a status line is malformed, or longer than 8 KiB.
+            AnswerLimitError: If the head is too large.
         """
         self._buffer += data
         while not self.is_done:
             line, separator, rest = self._buffer.partition(b"\n")
+            if self._n_bytes + len(line) > HEAD_MAX_BYTES:
+                raise AnswerLimitError(f"head of {HEAD_MAX_BYTES} bytes or more")
             if not separator:
-                if len(line) > LINE_MAX_BYTES:
+                if self._is_at_status_line and len(line) > LINE_MAX_BYTES:
                     raise StatusLineError("a line without end")
                 return
+            self._n_bytes += len(line) + 1
             self._buffer = rest
             self._check_line(line.removesuffix(b"\r"))
         self._buffer = b""
 
     def _check_line(self, line: bytes) -> None:
-        if self._is_in_interim_head:
-            self._is_in_interim_head = bool(line)
+        if not self._is_at_status_line:
+            self._is_at_status_line = not line
+            self.is_done = not line and not self._is_interim
             return
         match = STATUS_LINE.fullmatch(line)
         if match is None:
             raise StatusLineError(repr(line[:DETAIL_MAX_BYTES]))
-        self.is_done = int(match[2]) >= FINAL_STATUS_MIN
-        self._is_in_interim_head = not self.is_done
+        self._is_at_status_line = False
+        self._is_interim = int(match[2]) < FINAL_STATUS_MIN
--- /dev/null
+++ b/burdockhitch/tests/test_endless_native_answers.py
@@ -0,0 +1,89 @@
+"""Tests that the native front end bounds what it holds of answers without end."""
+
+import tracemalloc
+
+import pytest
+from twisted.internet.error import ConnectionAborted
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+
+from burdockhitch import events
+from burdockhitch.adapters import servers
+from burdockhitch.adapters.answer_limits import HEAD_MAX_BYTES
+from burdockhitch.commands import SendAttempt
+from burdockhitch.events import AttemptFailure
+from burdockhitch.messages import RequestMessage
+from burdockhitch.tests.test_status_lines import FakeProcess
+
+READ_BYTES = 64 * 1024
+# A whole head, its copies while it is parsed, and the last bytes read.
+RECEIVED_MAX_BYTES = 2 * HEAD_MAX_BYTES
+HELD_MAX_BYTES = 100 * HEAD_MAX_BYTES
+FED_MAX_BYTES = 64 * HEAD_MAX_BYTES
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+# First bytes, and the bytes that follow without end.
+ENDLESS_HEADS = {
+    "header line": (HEAD + b"X: ", b"a"),
+    "header lines": (HEAD, b"X-A: b\r\n"),
+    "header names": (HEAD, b"a:\n"),
+    "folded header lines": (HEAD + b"X: a\r\n", b" a\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "interim header lines": (b"HTTP/1.1 103 Early\r\n", b"X-A: b\r\n"),
+    "status line": (b"HTTP/1.1 200 ", b"O"),
+}
+
+
+def start_attempt():
+    """Return a process with an attempt in progress, and its connection."""
+    process = FakeProcess()
+    message = RequestMessage("GET", "/a", (("host", "h"),), b"", "")
+    command = SendAttempt(1, "mine", "10.0.0.1:80", message, 5.0, "i", True, 1.0)
+    servers.send_attempt(process, command)
+    (client,) = process.reactor.tcpClients
+    protocol = client[2].buildProtocol(None)
+    transport = StringTransport()
+    transport.abortConnection = transport.loseConnection
+    protocol.makeConnection(transport)
+    return process, protocol
+
+
+def feed(protocol, first, repeated):
+    """Feed bytes until the connection is closed; return how many."""
+    data = first + repeated * (READ_BYTES // len(repeated))
+    n_fed = 0
+    while not protocol.transport.disconnecting and n_fed < FED_MAX_BYTES:
+        protocol.dataReceived(data)
+        n_fed += len(data)
+        data = repeated * (READ_BYTES // len(repeated))
+    protocol.connectionLost(Failure(ConnectionAborted()))
+    return n_fed
+
+
+@pytest.mark.parametrize("name", ENDLESS_HEADS)
+def test_a_head_without_end_is_broken_off_within_its_limit(name):
+    # Guards against keeping header lines of a faulty server until memory runs out.
+    process, protocol = start_attempt()
+    tracemalloc.start()
+    try:
+        n_fed = feed(protocol, *ENDLESS_HEADS[name])
+        n_held_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    process.reactor.advance(0)
+    assert n_fed <= RECEIVED_MAX_BYTES
+    assert n_held_bytes <= HELD_MAX_BYTES
+    assert process.posted == [events.BackendFailed(1, AttemptFailure.BROKEN)]
+
+
+@pytest.mark.parametrize("size", [1, 100, READ_BYTES])
+def test_a_head_at_the_limit_is_still_whole(size):
+    process, protocol = start_attempt()
+    head = HEAD + b"Content-Length: 2\r\n"
+    n_lines = (HEAD_MAX_BYTES - len(head) - 2) // len(b"X-A: b\r\n")
+    data = head + b"X-A: b\r\n" * n_lines + b"\r\nab"
+    for start in range(0, len(data), size):
+        protocol.dataReceived(data[start : start + size])
+    process.reactor.advance(0)
+    (event,) = process.posted
+    assert (event.answer.status, event.answer.body) == (200, b"ab")
