Close the connection of a cancelled attempt on the native front end

Callers saw: nothing. But at the deadline of a request whose answer had begun, the cancellation raised AttributeError in the VM, and the connection stayed open: a body without end was read on until it exceeded answer_max, one that trickles for hours. Above answer_max the same error ended the connection by chance, as Twisted gives up a connection whose reader raises.

Cause: Twisted gives readers of a body a proxy of the transport, which has no abortConnection. Ruled out: cancellations before the head is complete, which the agent handles itself; two of the four cases passed before.

Change: readers call stopProducing, which the proxy passes on, and the connections of this client abort at it, so that a server that doesn't read the request can't hold them.

Measured: two of four cases of test_a_cancelled_attempt_closes_its_connection fail before the change with AttributeError, none after it.

--- a/burdockhitch/adapters/checked_connections.py
+++ b/burdockhitch/adapters/checked_connections.py
@@ -30,6 +30,10 @@
                 return
         super().dataReceived(data)
 
+    def stopProducing(self) -> None:  # noqa: N802
+        """Abort the connection, without waiting until the server reads the request."""
+        self.transport.abortConnection()
+
 
 class CheckedFactory(WrappingFactory):
     """Checks the head of the answer on each connection of a factory."""
--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -111,7 +111,8 @@
         """Close the connection, so that it is not reused."""
         transport: Any = self.transport
         if transport is not None:
-            transport.abortConnection()
+            # What Twisted gives to readers of a body has no ``abortConnection``.
+            transport.stopProducing()
 
 
 @implementer(IStreamClientEndpoint)
--- a/burdockhitch/tests/test_endless_native_answers.py
+++ b/burdockhitch/tests/test_endless_native_answers.py
@@ -10,7 +10,7 @@
 from burdockhitch import events
 from burdockhitch.adapters import servers
 from burdockhitch.adapters.answer_limits import HEAD_MAX_BYTES
-from burdockhitch.commands import SendAttempt
+from burdockhitch.commands import CancelAttempt, SendAttempt
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import RequestMessage
 from burdockhitch.tests.test_status_lines import FakeProcess
@@ -34,18 +34,18 @@
 }
 
 
-def start_attempt():
-    """Return a process with an attempt in progress, and its connection."""
-    process = FakeProcess()
+def start_attempt(process, attempt_id=1):
+    """Start an attempt, and return its connection."""
     message = RequestMessage("GET", "/a", (("host", "h"),), b"", "")
-    command = SendAttempt(1, "mine", "10.0.0.1:80", message, 5.0, "i", True, 1.0)
+    address = "10.0.0.1:80"
+    command = SendAttempt(attempt_id, "id", address, message, 5.0, "i", True, 1.0)
     servers.send_attempt(process, command)
-    (client,) = process.reactor.tcpClients
+    *_, client = process.reactor.tcpClients
     protocol = client[2].buildProtocol(None)
     transport = StringTransport()
     transport.abortConnection = transport.loseConnection
     protocol.makeConnection(transport)
-    return process, protocol
+    return protocol
 
 
 def feed(protocol, first, repeated):
@@ -63,7 +63,8 @@
 @pytest.mark.parametrize("name", ENDLESS_HEADS)
 def test_a_head_without_end_is_broken_off_within_its_limit(name):
     # Guards against keeping header lines of a faulty server until memory runs out.
-    process, protocol = start_attempt()
+    process = FakeProcess()
+    protocol = start_attempt(process)
     tracemalloc.start()
     try:
         n_fed = feed(protocol, *ENDLESS_HEADS[name])
@@ -78,7 +79,8 @@
 
 @pytest.mark.parametrize("size", [1, 100, READ_BYTES])
 def test_a_head_at_the_limit_is_still_whole(size):
-    process, protocol = start_attempt()
+    process = FakeProcess()
+    protocol = start_attempt(process)
     head = HEAD + b"Content-Length: 2\r\n"
     n_lines = (HEAD_MAX_BYTES - len(head) - 2) // len(b"X-A: b\r\n")
     data = head + b"X-A: b\r\n" * n_lines + b"\r\nab"
@@ -87,3 +89,17 @@
     process.reactor.advance(0)
     (event,) = process.posted
     assert (event.answer.status, event.answer.body) == (200, b"ab")
+
+
+@pytest.mark.parametrize(
+    "data", [b"", HEAD, HEAD + b"\r\n", HEAD + b"Content-Length: 9\r\n\r\nab"]
+)
+def test_a_cancelled_attempt_closes_its_connection(data):
+    # Guards against bodies without end that are read on after the deadline.
+    process = FakeProcess()
+    protocol = start_attempt(process)
+    protocol.dataReceived(data)
+    servers.cancel_attempt(process, CancelAttempt(1))
+    process.reactor.advance(0)
+    assert protocol.transport.disconnecting
+    assert process.posted == []
