Bound the bodies of answers in progress together on the native front end

Callers saw: nothing until the VM ran out of memory. And no limit held all bodies together: ten answers that stop one byte before their end were all kept.

Cause: the body was a list of pieces, and open_answers_max applied to the platform's front end only. Ruled out: bodies without length, whose pieces are as large as the reads; heads, which have a limit of their own.

Change: bodies are collected in one buffer and count in OpenAnswers, as on the platform; above open_answers_max the largest is given up, which counts as broken.

--- a/burdockhitch/adapters/daemon.py
+++ b/burdockhitch/adapters/daemon.py
@@ -11,6 +11,7 @@
 from burdockhitch import commands, events, log
 from burdockhitch.adapters import callers, links, platform, servers
 from burdockhitch.adapters.admin import AdminApp
+from burdockhitch.adapters.answer_limits import AnswerLimits, OpenAnswers
 from burdockhitch.adapters.caller_sites import make_admin_site
 from burdockhitch.adapters.listening import (
     EXIT_DELAY_S,
@@ -70,6 +71,11 @@
         ticker=ticker,
         callers={},
         attempts={},
+        open_answers=OpenAnswers(
+            AnswerLimits(
+                server_settings.answer_max_bytes, server_settings.open_answers_max_bytes
+            )
+        ),
         backend_agent=servers.make_agent(reactor, server_settings.connect_timeout_s),
         platform_client=_make_platform_client(world, reactor),
         links=links.Links(world, reactor, ticker.post),
--- a/burdockhitch/adapters/process.py
+++ b/burdockhitch/adapters/process.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from burdockhitch.adapters.answer_limits import OpenAnswers
 from burdockhitch.registry import Registry
 from burdockhitch.world import World
 
@@ -17,6 +18,8 @@
         callers: Open caller requests, each with the deferred of its answer, by
             connection id.
         attempts: Deferreds of the requests to backend servers by attempt id.
+        open_answers: Limits of the answers of backend servers, and the bytes held of
+            those in progress.
         backend_agent: Twisted HTTP agent for backend servers.
         platform_client: HTTP client for the platform and for health probes.
         links: ZeroMQ sockets to and from other VMs.
@@ -28,6 +31,7 @@
     ticker: Any
     callers: dict[int, Any]
     attempts: dict[int, Any]
+    open_answers: OpenAnswers
     backend_agent: Any
     platform_client: Any
     links: Any
--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -24,8 +24,9 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
-from burdockhitch import commands, events
+from burdockhitch import commands, events, log
 from burdockhitch.adapters import headers
+from burdockhitch.adapters.answer_limits import OpenAnswers
 from burdockhitch.adapters.checked_connections import CheckedFactory
 from burdockhitch.adapters.process import Process, command_handlers
 from burdockhitch.errors import BurdockhitchError
@@ -45,7 +46,7 @@
 
 
 class AnswerTooLargeError(BurdockhitchError):
-    """The answer body exceeds the size limit."""
+    """The answer body, or all bodies in progress together, exceed a size limit."""
 
 
 @implementer(IBodyProducer)
@@ -75,45 +76,55 @@
     """Collects an answer body; fails if the server did not mark its end.
 
     Args:
-        max_bytes: Size limit of the body.
+        open_answers: Limits, and the bodies in progress.
         finished: Fires with the complete body, or fails.
     """
 
-    def __init__(self, max_bytes: int, finished: Deferred[bytes]) -> None:
-        self._max_bytes = max_bytes
+    def __init__(self, open_answers: OpenAnswers, finished: Deferred[bytes]) -> None:
+        self._open_answers = open_answers
         self._finished = finished
-        self._parts: list[bytes] = []
-        self._n_bytes = 0
+        self._body = bytearray()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Append a chunk of the body; fail and abort if the body exceeds the limit."""
-        self._n_bytes += len(data)
-        if self._n_bytes > self._max_bytes:
-            self._fail_and_abort(AnswerTooLargeError())
+        """Append a part of the body; fail and abort if the body exceeds a limit."""
+        if self._finished.called:
             return
-        self._parts.append(data)
+        self._body += data
+        if len(self._body) > self._open_answers.limits.body_max_bytes:
+            self.reject("body too large")
+        else:
+            self._open_answers.resize(self, len(self._body))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: N802
         """Pass on the body if the server marked its end, else fail."""
         if self._finished.called:
             return
+        body = bytes(self._body)
+        self._release_memory()
         if reason.check(ResponseDone):
-            self._finished.callback(b"".join(self._parts))
+            self._finished.callback(body)
         else:
             self._finished.errback(Failure(AnswerTruncatedError()))
 
-    def _fail_and_abort(self, error: BurdockhitchError) -> None:
+    def reject(self, detail: str) -> None:
+        """Give the body up because of a limit."""
+        log.write_event("WARNING", "answer_rejected", {"detail": detail})
         if not self._finished.called:
-            self._finished.errback(Failure(error))
+            self._finished.errback(Failure(AnswerTooLargeError()))
         self.abort()
 
     def abort(self) -> None:
         """Close the connection, so that it is not reused."""
+        self._release_memory()
         transport: Any = self.transport
         if transport is not None:
             # What Twisted gives to readers of a body has no ``abortConnection``.
             transport.stopProducing()
 
+    def _release_memory(self) -> None:
+        self._body = bytearray()
+        self._open_answers.release(self)
+
 
 @implementer(IStreamClientEndpoint)
 class CheckedEndpoint:
@@ -186,10 +197,10 @@
     return result
 
 
-def _receive_body(response: Any, max_bytes: int) -> Deferred[bytes]:
+def _receive_body(response: Any, open_answers: OpenAnswers) -> Deferred[bytes]:
     collector: BodyCollector
     finished: Deferred[bytes] = Deferred(lambda _: collector.abort())
-    collector = BodyCollector(max_bytes, finished)
+    collector = BodyCollector(open_answers, finished)
     response.deliverBody(collector)
     return finished
 
@@ -203,7 +214,6 @@
 def send_attempt(process: Process, command: commands.SendAttempt) -> None:
     """Send a request to a backend server and post the answer or failure."""
     attempt_id = command.attempt_id
-    max_bytes = process.world.settings.backend_servers.answer_max_bytes
     request = command.request
     body = BytesProducer(request.body) if request.body else None
     response_deferred = process.backend_agent.request(
@@ -215,7 +225,7 @@
     process.attempts[attempt_id] = response_deferred
 
     def read_response(response: Any) -> Any:
-        body_deferred = _receive_body(response, max_bytes)
+        body_deferred = _receive_body(response, process.open_answers)
         process.attempts[attempt_id] = body_deferred
         pairs = headers.decode_end_to_end_headers(response.headers.getAllRawHeaders())
         return body_deferred.addCallback(
--- a/burdockhitch/settings.py
+++ b/burdockhitch/settings.py
@@ -166,8 +166,7 @@
     Attributes:
         connect_timeout_s: Timeout for opening a connection.
         answer_max_bytes: Maximum size of an answer.
-        open_answers_max_bytes: Maximum size of all answers in progress together, on
-            the users' platform.
+        open_answers_max_bytes: Maximum size of all answers in progress together.
         probe_timeout_s: Timeout of a health probe.
         hold_s: Time from an ejection to the first probe; it doubles with each
             ejection less than ``REPEATED_EJECTION_INTERVAL_MAX_S`` of
--- a/burdockhitch/tests/test_endless_native_answers.py
+++ b/burdockhitch/tests/test_endless_native_answers.py
@@ -9,7 +9,7 @@
 
 from burdockhitch import events
 from burdockhitch.adapters import servers
-from burdockhitch.adapters.answer_limits import HEAD_MAX_BYTES
+from burdockhitch.adapters.answer_limits import HEAD_MAX_BYTES, AnswerLimits
 from burdockhitch.commands import CancelAttempt, SendAttempt
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import RequestMessage
@@ -103,3 +103,50 @@
     process.reactor.advance(0)
     assert protocol.transport.disconnecting
     assert process.posted == []
+
+
+LIMITS = AnswerLimits(body_max_bytes=2**20, open_max_bytes=2**21)
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Bodies are copied when they are complete.
+BODY_HELD_MAX_BYTES = 4 * LIMITS.body_max_bytes
+
+
+@pytest.mark.parametrize(
+    ("first", "repeated"),
+    [(CHUNKED_HEAD, b"2\r\nab\r\n"), (HEAD + b"\r\n", b"a")],
+    ids=["small chunks", "no length"],
+)
+def test_a_body_without_end_holds_little_more_than_its_limit(first, repeated):
+    # Guards against keeping each small piece of a body as an object of its own.
+    process = FakeProcess(LIMITS)
+    protocol = start_attempt(process)
+    tracemalloc.start()
+    try:
+        feed(protocol, first, repeated)
+        n_held_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    process.reactor.advance(0)
+    assert n_held_bytes <= BODY_HELD_MAX_BYTES
+    assert process.posted == [events.BackendFailed(1, AttemptFailure.BROKEN)]
+    assert process.open_answers.n_bytes == 0
+
+
+def test_bodies_in_progress_stay_within_their_limit_together():
+    # Guards against many bodies, each within its limit, that exceed the memory.
+    process = FakeProcess(LIMITS)
+    protocols = [start_attempt(process, number) for number in range(10)]
+    n_bytes = 400_000
+    head = HEAD + b"Content-Length: %d\r\n\r\n" % n_bytes
+    for protocol in protocols:
+        protocol.dataReceived(head + b"a" * (n_bytes - 1))
+        assert process.open_answers.n_bytes <= LIMITS.open_max_bytes
+    for protocol in protocols:
+        if not protocol.transport.disconnecting:
+            protocol.dataReceived(b"a")
+    process.reactor.advance(0)
+    n_whole = LIMITS.open_max_bytes // n_bytes
+    outcomes = [type(event) for event in process.posted]
+    assert outcomes.count(events.BackendAnswered) == n_whole
+    assert outcomes.count(events.BackendFailed) == len(protocols) - n_whole
+    assert process.open_answers.n_bytes == 0
--- a/burdockhitch/tests/test_servers.py
+++ b/burdockhitch/tests/test_servers.py
@@ -18,6 +18,7 @@
 )
 from twisted.web.http import PotentialDataLoss
 
+from burdockhitch.adapters.answer_limits import AnswerLimits, OpenAnswers
 from burdockhitch.adapters.headers import decode_end_to_end_headers
 from burdockhitch.adapters.servers import (
     AnswerTooLargeError,
@@ -46,7 +47,7 @@
     finished = Deferred()
     results = []
     finished.addCallbacks(results.append, lambda failure: results.append(failure.type))
-    collector = BodyCollector(5, finished)
+    collector = BodyCollector(OpenAnswers(AnswerLimits(5, 10)), finished)
     for part in parts:
         collector.dataReceived(part)
     collector.connectionLost(Failure(reason))
--- a/burdockhitch/tests/test_status_lines.py
+++ b/burdockhitch/tests/test_status_lines.py
@@ -10,6 +10,7 @@
 
 from burdockhitch import events
 from burdockhitch.adapters import servers
+from burdockhitch.adapters.answer_limits import AnswerLimits, OpenAnswers
 from burdockhitch.adapters.exchange import HttpAnswer
 from burdockhitch.commands import SendAttempt
 from burdockhitch.events import AttemptFailure
@@ -93,7 +94,7 @@
 class FakeProcess:
     """What the native front end's client uses of its process."""
 
-    def __init__(self):
+    def __init__(self, limits=AnswerLimits(1000, 2000)):  # noqa: B008
         self.reactor = MemoryReactorClock()
         self.backend_agent = servers.make_agent(self.reactor, 1.0)
         self.attempts = {}
@@ -102,7 +103,7 @@
         self.world = self
         self.settings = self
         self.backend_servers = self
-        self.answer_max_bytes = 1000
+        self.open_answers = OpenAnswers(limits)
 
     def post(self, event):
         """Record a posted event."""
