Count the heads of answers in progress by what they hold

Callers saw: nothing until the VM ran out of memory. Each head is limited to 64 KiB, but one of lines of four bytes is held as 16,000 objects, 1.7 MB, until its body is complete. 150 such answers whose bodies don't arrive held 258 MB, on a VM that has 300 MB, while open_answers_max (32 MiB) counted nothing of it.

Cause: the open answers counted bodies and bytes that aren't parsed yet, not parsed heads. Ruled out: heads in progress, which are counted as unparsed bytes.

Change: a parsed head counts with its bytes and 128 for each line, so the largest answers are given up above open_answers_max, as with bodies. No head is refused for its number of lines.

Measured: test_heads_of_many_short_lines_count_in_the_open_answers fails before the change (258,321,013 bytes held, bound 100,663,296) and passes after it.

--- a/burdockhitch/adapters/answer_limits.py
+++ b/burdockhitch/adapters/answer_limits.py
@@ -9,6 +9,8 @@
 # Head of an answer with the interim answers before it, and also a chunk's size line
 # and the trailers.
 HEAD_MAX_BYTES = 64 * 1024
+# Size of the objects of a parsed header line, besides its bytes.
+HEADER_LINE_BYTES = 128
 # Chunk framing, which a server can send without end beside a small body, and which
 # takes more time to parse than the body.
 FRAMING_MAX_BYTES = 64 * 1024
--- a/burdockhitch/adapters/exchange.py
+++ b/burdockhitch/adapters/exchange.py
@@ -20,6 +20,7 @@
 
 from burdockhitch import log
 from burdockhitch.adapters.answer_limits import (
+    HEADER_LINE_BYTES,
     INTERIM_ANSWERS_MAX,
     RECEIVE_BUFFER_BYTES,
     SKIPPED_ANSWERS_MAX,
@@ -169,6 +170,7 @@
         self._answer_head: Any = None
         self._n_received_bytes = 0
         self._n_head_bytes = 0
+        self._n_head_held_bytes = 0
         self._n_interim = 0
         self._body = bytearray()
 
@@ -282,7 +284,8 @@
         )
         if n_framing_bytes > self._limits.framing_max_bytes(n_body_bytes):
             raise AnswerLimitError("chunk framing without end")
-        self._open_answers.resize(self, n_body_bytes + n_unparsed_bytes)
+        n_held_bytes = self._n_head_held_bytes + n_body_bytes + n_unparsed_bytes
+        self._open_answers.resize(self, n_held_bytes)
 
     def _check_head_size(self, n_bytes: int) -> None:
         if n_bytes > self._limits.head_max_bytes:
@@ -339,6 +342,8 @@
         n_unparsed_bytes = len(self._codec.trailing_data[0])
         self._n_head_bytes = self._n_received_bytes - n_unparsed_bytes
         self._check_head_size(self._n_head_bytes)
+        n_lines = len(head.headers)
+        self._n_head_held_bytes = self._n_head_bytes + HEADER_LINE_BYTES * n_lines
         if self._request is None or self._request.method == "HEAD":
             return
         if head.status_code in STATUSES_WITHOUT_BODY:
--- a/burdockhitch/tests/test_endless_answers.py
+++ b/burdockhitch/tests/test_endless_answers.py
@@ -23,6 +23,10 @@
 )
 from burdockhitch.adapters.connections import ConnectionPool
 from burdockhitch.adapters.exchange import HttpRequest
+from burdockhitch.settings import (
+    DEFAULT_ANSWER_MAX_BYTES,
+    DEFAULT_OPEN_ANSWERS_MAX_BYTES,
+)
 from burdockhitch.tests.test_connections import ADDRESS, TIMEOUT_S, connect
 from burdockhitch.tests.test_exchange import (
     BROKEN,
@@ -218,6 +222,32 @@
     assert open_answers.n_bytes == 0
 
 
+# A head of 64,000 bytes in lines of four, of an answer whose body doesn't arrive.
+SHORT_LINES_HEAD = HEAD + b"a:\r\n" * 16_000 + b"Content-Length: 2\r\n\r\n"
+N_SHORT_LINES_ANSWERS = 150
+DEFAULT_LIMITS = AnswerLimits(DEFAULT_ANSWER_MAX_BYTES, DEFAULT_OPEN_ANSWERS_MAX_BYTES)
+
+
+def test_heads_of_many_short_lines_count_in_the_open_answers():
+    # Guards against heads, each within its limit, that together take the VM's memory.
+    open_answers = OpenAnswers(DEFAULT_LIMITS)
+    conversations = []
+    tracemalloc.start()
+    try:
+        for _ in range(N_SHORT_LINES_ANSWERS):
+            conversation = Conversation(open_answers=open_answers)
+            conversation.connection.dataReceived(SHORT_LINES_HEAD)
+            conversations.append(conversation)
+        n_held_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    # The bound of the process in test_endless_processes.py.
+    assert n_held_bytes <= 3 * DEFAULT_OPEN_ANSWERS_MAX_BYTES
+    newest = conversations[-1]
+    newest.connection.dataReceived(b"ab")
+    assert newest.outcome() == (200, b"ab")
+
+
 class SocketTransport(Transport):
     """A string transport with the options of a real socket."""
 
