Send health probes on the native front end again

Callers saw: a server that was ejected stayed out until other evidence returned it, and no VM could confirm a server's state for another: no probe was sent.

Cause: since the probe passes an argument that the HTTP client of treq 26.7.0 doesn't take, so the command raised TypeError before anything was sent, and posted nothing. Found while looking for connections that answers without end hold. Ruled out: the systems, which issue probes and take their results, as the tests on fakes show; these replace the adapter, which is why they didn't fail.

Change: probes use the agent of the requests, with a time limit until the head. A redirect counts as unhealthy and isn't followed to another address.

Measured: the five cases of test_a_probe_posts_whether_the_server_is_healthy fail before the change with TypeError, none after it.

--- a/burdockhitch/adapters/process.py
+++ b/burdockhitch/adapters/process.py
@@ -21,7 +21,7 @@
         open_answers: Limits of the answers of backend servers, and the bytes held of
             those in progress.
         backend_agent: Twisted HTTP agent for backend servers.
-        platform_client: HTTP client for the platform and for health probes.
+        platform_client: HTTP client for the platform.
         links: ZeroMQ sockets to and from other VMs.
         ports: Listening TCP ports.
     """
--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -265,13 +265,13 @@
     post_result: Callable[[bool], None],
 ) -> None:
     url = f"http://{address}{HEALTH_PATH}"
-    response_deferred = process.platform_client.get(
-        url, timeout=timeout_s, persistent=False
-    )
-    response_deferred.addCallbacks(
-        lambda response: post_result(response.code == STATUS_OK),
-        lambda _failure: post_result(False),
-    )
+    response_deferred = process.backend_agent.request(b"GET", url.encode("ascii"))
+    response_deferred.addTimeout(timeout_s, process.reactor)
+
+    def handle_response(response: Any) -> None:
+        post_result(response.code == STATUS_OK)
+
+    response_deferred.addCallbacks(handle_response, lambda _failure: post_result(False))
 
 
 @command_handlers("ProbeServer")
--- a/burdockhitch/tests/test_servers.py
+++ b/burdockhitch/tests/test_servers.py
@@ -3,11 +3,13 @@
 import pytest
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import (
+    ConnectionAborted,
     ConnectionDone,
     ConnectionLost,
     ConnectionRefusedError,
     TimeoutError,
 )
+from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 from twisted.web.client import (
     RequestNotSent,
@@ -25,8 +27,11 @@
     AnswerTruncatedError,
     BodyCollector,
     classify_failure,
+    probe_server,
 )
-from burdockhitch.events import AttemptFailure
+from burdockhitch.commands import ProbeServer
+from burdockhitch.events import AttemptFailure, ServerProbed
+from burdockhitch.tests.test_status_lines import FakeProcess
 
 
 @pytest.mark.parametrize(
@@ -82,3 +87,34 @@
 )
 def test_hop_by_hop_headers_are_dropped(raw, pairs):
     assert decode_end_to_end_headers(raw) == pairs
+
+
+PROBE_TIMEOUT_S = 1.0
+WHOLE = b"\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "is_ok"),
+    [
+        (b"HTTP/1.1 200 OK" + WHOLE, True),
+        (b"HTTP/1.1 503 No" + WHOLE, False),
+        (b"HTTP/1.1 302 Found\r\nLocation: http://10.0.0.2/" + WHOLE, False),
+        (b"HTTP/1.1 000 No" + WHOLE, False),
+        (b"", False),
+    ],
+)
+def test_a_probe_posts_whether_the_server_is_healthy(data, is_ok):
+    # Guards against probes that fail before they are sent, so that nothing is posted.
+    process = FakeProcess()
+    probe_server(process, ProbeServer("i", "10.0.0.1:80", PROBE_TIMEOUT_S))
+    (client,) = process.reactor.tcpClients
+    protocol = client[2].buildProtocol(None)
+    transport = StringTransport()
+    transport.abortConnection = transport.loseConnection
+    protocol.makeConnection(transport)
+    assert transport.value().startswith(b"GET /health HTTP/1.1\r\n")
+    protocol.dataReceived(data)
+    process.reactor.advance(PROBE_TIMEOUT_S)
+    if transport.disconnecting:
+        protocol.connectionLost(Failure(ConnectionAborted()))
+    assert process.posted == [ServerProbed("i", is_ok)]
