Close connections of probes whose answers have no end

Callers saw: nothing until the VM had no descriptors left. A server that answers health probes with a body without end kept one connection of the VM for each probe.

Cause: Twisted pauses a connection at the end of the head and keeps it open until the body is read, which nothing did.

Change: the body of a probe's answer is read and dropped, within the limits of answers and the time limit of the probe.

Measured: three of five cases of test_a_probe_ends_its_connection_while_the_answer_has_no_end fail before the change, none after it.

--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -270,6 +270,10 @@
 
     def handle_response(response: Any) -> None:
         post_result(response.code == STATUS_OK)
+        # Twisted keeps the connection open until its body is read.
+        body_deferred = _receive_body(response, process.open_answers)
+        body_deferred.addTimeout(timeout_s, process.reactor)
+        body_deferred.addErrback(lambda _failure: None)
 
     response_deferred.addCallbacks(handle_response, lambda _failure: post_result(False))
 
--- a/burdockhitch/tests/test_endless_native_answers.py
+++ b/burdockhitch/tests/test_endless_native_answers.py
@@ -10,7 +10,7 @@
 from burdockhitch import events
 from burdockhitch.adapters import servers
 from burdockhitch.adapters.answer_limits import HEAD_MAX_BYTES, AnswerLimits
-from burdockhitch.commands import CancelAttempt, SendAttempt
+from burdockhitch.commands import CancelAttempt, ProbeServer, SendAttempt
 from burdockhitch.events import AttemptFailure
 from burdockhitch.messages import RequestMessage
 from burdockhitch.tests.test_status_lines import FakeProcess
@@ -34,12 +34,8 @@
 }
 
 
-def start_attempt(process, attempt_id=1):
-    """Start an attempt, and return its connection."""
-    message = RequestMessage("GET", "/a", (("host", "h"),), b"", "")
-    address = "10.0.0.1:80"
-    command = SendAttempt(attempt_id, "id", address, message, 5.0, "i", True, 1.0)
-    servers.send_attempt(process, command)
+def connect(process):
+    """Establish the connection that was requested last, and return it."""
     *_, client = process.reactor.tcpClients
     protocol = client[2].buildProtocol(None)
     transport = StringTransport()
@@ -48,6 +44,15 @@
     return protocol
 
 
+def start_attempt(process, attempt_id=1):
+    """Start an attempt, and return its connection."""
+    message = RequestMessage("GET", "/a", (("host", "h"),), b"", "")
+    address = "10.0.0.1:80"
+    command = SendAttempt(attempt_id, "id", address, message, 5.0, "i", True, 1.0)
+    servers.send_attempt(process, command)
+    return connect(process)
+
+
 def feed(protocol, first, repeated):
     """Feed bytes until the connection is closed; return how many."""
     data = first + repeated * (READ_BYTES // len(repeated))
@@ -150,3 +155,29 @@
     assert outcomes.count(events.BackendAnswered) == n_whole
     assert outcomes.count(events.BackendFailed) == len(protocols) - n_whole
     assert process.open_answers.n_bytes == 0
+
+
+PROBE_TIMEOUT_S = 1.0
+
+
+@pytest.mark.parametrize(
+    ("data", "is_ok"),
+    [
+        (b"", False),
+        (HEAD + b"X: a\r\n", False),
+        (HEAD + b"\r\na", True),
+        (HEAD + b"Content-Length: 9\r\n\r\nab", True),
+        (b"HTTP/1.1 503 No\r\n\r\na", False),
+    ],
+)
+def test_a_probe_ends_its_connection_while_the_answer_has_no_end(data, is_ok):
+    # Guards against a descriptor for each probe of a server that sends without end.
+    process = FakeProcess()
+    servers.probe_server(process, ProbeServer("i", "10.0.0.1:80", PROBE_TIMEOUT_S))
+    protocol = connect(process)
+    protocol.dataReceived(data)
+    process.reactor.advance(PROBE_TIMEOUT_S)
+    assert protocol.transport.disconnecting
+    protocol.connectionLost(Failure(ConnectionAborted()))
+    assert process.posted == [events.ServerProbed("i", is_ok)]
+    assert process.open_answers.n_bytes == 0
