--- a/burdockhitch/adapters/servers.py
+++ b/burdockhitch/adapters/servers.py
@@ -77,11 +77,15 @@
 
     Args:
         open_answers: Limits, and the bodies in progress.
+        address: ``ip:port`` of the server, for the log.
         finished: Fires with the complete body, or fails.
     """
 
-    def __init__(self, open_answers: OpenAnswers, finished: Deferred[bytes]) -> None:
+    def __init__(
+        self, open_answers: OpenAnswers, address: str, finished: Deferred[bytes]
+    ) -> None:
         self._open_answers = open_answers
+        self._address = address
         self._finished = finished
         self._body = bytearray()
 
@@ -108,7 +112,8 @@
 
     def reject(self, detail: str) -> None:
         """Give the body up because of a limit."""
-        log.write_event("WARNING", "answer_rejected", {"detail": detail})
+        fields = {"address": self._address, "detail": detail}
+        log.write_event("WARNING", "answer_rejected", fields)
         if not self._finished.called:
             self._finished.errback(Failure(AnswerTooLargeError()))
         self.abort()
@@ -197,10 +202,10 @@
     return result
 
 
-def _receive_body(response: Any, open_answers: OpenAnswers) -> Deferred[bytes]:
+def _receive_body(process: Process, response: Any, address: str) -> Deferred[bytes]:
     collector: BodyCollector
     finished: Deferred[bytes] = Deferred(lambda _: collector.abort())
-    collector = BodyCollector(open_answers, finished)
+    collector = BodyCollector(process.open_answers, address, finished)
     response.deliverBody(collector)
     return finished
 
@@ -225,7 +230,7 @@
     process.attempts[attempt_id] = response_deferred
 
     def read_response(response: Any) -> Any:
-        body_deferred = _receive_body(response, process.open_answers)
+        body_deferred = _receive_body(process, response, command.address)
         process.attempts[attempt_id] = body_deferred
         pairs = headers.decode_end_to_end_headers(response.headers.getAllRawHeaders())
         return body_deferred.addCallback(
@@ -271,7 +276,7 @@
     def handle_response(response: Any) -> None:
         post_result(response.code == STATUS_OK)
         # Twisted keeps the connection open until its body is read.
-        body_deferred = _receive_body(response, process.open_answers)
+        body_deferred = _receive_body(process, response, address)
         body_deferred.addTimeout(timeout_s, process.reactor)
         body_deferred.addErrback(lambda _failure: None)
 
--- a/burdockhitch/tests/test_servers.py
+++ b/burdockhitch/tests/test_servers.py
@@ -52,7 +52,7 @@
     finished = Deferred()
     results = []
     finished.addCallbacks(results.append, lambda failure: results.append(failure.type))
-    collector = BodyCollector(OpenAnswers(AnswerLimits(5, 10)), finished)
+    collector = BodyCollector(OpenAnswers(AnswerLimits(5, 10)), "", finished)
     for part in parts:
         collector.dataReceived(part)
     collector.connectionLost(Failure(reason))
