Scan heads for line ends without copying the rest at each line

The checker of heads copied what followed each line, for a head of short lines in one read half a gigabyte together; it looks for line ends from an offset instead. The tests of heads pass unchanged.

--- a/burdockhitch/adapters/status_lines.py
+++ b/burdockhitch/adapters/status_lines.py
@@ -54,19 +54,21 @@
             StatusLineError: If a status line is malformed, or longer than 8 KiB.
             AnswerLimitError: If the head is too large.
         """
-        self._buffer += data
+        buffer = self._buffer + data
+        begin = 0
         while not self.is_done:
-            line, separator, rest = self._buffer.partition(b"\n")
-            if self._n_bytes + len(line) > HEAD_MAX_BYTES:
+            end = buffer.find(b"\n", begin)
+            n_line_bytes = (end if end >= 0 else len(buffer)) - begin
+            if self._n_bytes + n_line_bytes > HEAD_MAX_BYTES:
                 raise AnswerLimitError(f"head of {HEAD_MAX_BYTES} bytes or more")
-            if not separator:
-                if self._is_at_status_line and len(line) > LINE_MAX_BYTES:
+            if end < 0:
+                if self._is_at_status_line and n_line_bytes > LINE_MAX_BYTES:
                     raise StatusLineError("a line without end")
-                return
-            self._n_bytes += len(line) + 1
-            self._buffer = rest
-            self._check_line(line.removesuffix(b"\r"))
-        self._buffer = b""
+                break
+            self._n_bytes += n_line_bytes + 1
+            self._check_line(buffer[begin:end].removesuffix(b"\r"))
+            begin = end + 1
+        self._buffer = b"" if self.is_done else buffer[begin:]
 
     def _check_line(self, line: bytes) -> None:
         if not self._is_at_status_line:
