--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,8 +1,7 @@
-"""Clients send bodies of legal size in chunks of one byte."""
+"""Clients send requests ahead on their connections, and leave."""
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib3"))
@@ -11,131 +10,126 @@
     HOST,
     TROUBLE,
     Backend,
-    Client,
     Fleet,
     NotRunError,
     make_configuration,
+    make_message,
     open_connection,
-    request_once,
+    read_answer,
     run_case,
 )
 
-N_BACKENDS = 4
-# ``maxBodyBytes`` of the pages' example of a configuration.
-BODY_MAX_BYTES = 67_108_864
-TIMEOUT_S = 2.5
-WORK_S = 0.29
-N_ORDINARY = 10
-PERIOD_S = 0.5
-# Clients with chunked bodies, the bytes of each, and how fast each sends.
-N_CHUNKED = 40
-BODY_BYTES = 200_000
-CHUNK = b"1\r\nx\r\n"
-BYTES_PER_S = 125_000
-STEP_S = 0.1
-LENGTH_S = 20.0
+N_BACKENDS = 6
+# Longest work of a ``slot-lookup``, and the time-out of its route.
+WORK_S = 2.1
+TIMEOUT_S = 3.0
+N_CLIENTS = 15
+PERIOD_S = 0.6
+# Requests that a client sends at once, and the bytes of a header of each.
+N_AHEAD = 8
+COOKIE_BYTES = 3000
+LEAVES_AFTER_S = 0.35
+ALLOWED_S = 0.5
 
 
-async def send_chunked(record, vm, number):
-    """Send a body in chunks of one byte, or as one chunk without the trouble."""
-    request_id = f"chunked-{number}"
-    try:
-        reader, writer = await open_connection(vm.front)
-    except OSError:
-        record.write(f"{request_id} could not connect")
-        return
-    head = (
-        f"POST /holds/{number} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
-        "Deadline-Ms: 60000\r\nTransfer-Encoding: chunked\r\n\r\n"
-    )
-    if TROUBLE:
-        body = CHUNK * BODY_BYTES
-    else:
-        body = b"%x\r\n" % BODY_BYTES + b"x" * BODY_BYTES + b"\r\n"
-    body += b"0\r\n\r\n"
-    step_bytes = int(BYTES_PER_S * STEP_S)
-    try:
-        writer.write(head.encode())
-        for begin in range(0, len(body), step_bytes):
-            writer.write(body[begin : begin + step_bytes])
-            await writer.drain()
-            await asyncio.sleep(STEP_S)
-        answer = await reader.readline()
-        record.write(f"{request_id} answered {answer!r}")
-    except OSError as error:
-        record.write(f"{request_id} ended: {error!r}")
-    finally:
-        writer.transport.abort()
+class CloseAwareBackend(Backend):
+    """Drops a request when its connection closes, and notes how long it worked."""
 
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        # Times of begin and end by request.
+        self.work = {}
 
-async def send_ordinary(record, vm, number, times_s, stop):
-    """Send a small request at each period, and note when it is answered."""
-    client = Client(vm.front)
-    sequence = 0
-    while not stop.is_set():
-        sequence += 1
-        request_id = f"small-{number}-{sequence}"
-        headers = [("Request-Id", request_id), ("Deadline-Ms", "5000")]
-        began_s = time.monotonic()
-        answer = await client.request("POST", "/holds/s", headers, b"seat", 5.0)
-        took_s = time.monotonic() - began_s
-        times_s.append(took_s if answer else 5.0)
-        record.write(f"{request_id} {answer.status if answer else None} {took_s:.3f}")
-        await asyncio.sleep(max(0.0, PERIOD_S - took_s))
+    async def _respond(self, head, body, reader, writer):
+        request_id = head[1].get("request-id", "")
+        if head[0].split(" ")[1] == "/health":
+            return await super()._respond(head, body, reader, writer)
+        self.arrivals.append((self.record.now_s(), request_id))
+        began_s = self.record.now_s()
+        async with self.slots:
+            closed = asyncio.create_task(reader.read(1))
+            await asyncio.wait({closed}, timeout=WORK_S)
+            self.work[request_id] = (began_s, self.record.now_s())
+            if closed.done():
+                return False
+            closed.cancel()
+            await asyncio.gather(closed, return_exceptions=True)
+        data = f"{self.server_id} ran {request_id}".encode()
+        names = [
+            ("Request-Id", request_id),
+            ("Backend-Signature", f"{self.server_id}.{request_id}"),
+            ("Content-Length", len(data)),
+        ]
+        writer.write(make_message("HTTP/1.1 200 OK", names, data))
+        await writer.drain()
+        return True
 
 
-async def watch_ready(record, vm, stop):
-    """Ask once a second whether the VM is ready, as the platform does."""
-    while not stop.is_set():
-        began_s = time.monotonic()
-        try:
-            answer = await asyncio.wait_for(
-                request_once(vm.readiness, "GET", "/-/ready"), 10.0
-            )
-        except (OSError, TimeoutError):
-            answer = None
-        status = answer.status if answer else None
-        record.write(f"ready: {status} after {time.monotonic() - began_s:.3f}")
-        await asyncio.sleep(1.0)
+async def send_ahead(record, vm, number, left_at_s):
+    """Send requests at once; leave before the first answer, or read all of them."""
+    reader, writer = await open_connection(vm.front)
+    ids = [f"c{number}-{n}" for n in range(N_AHEAD)]
+    for request_id in ids:
+        names = [
+            ("Host", HOST),
+            ("Request-Id", request_id),
+            ("Deadline-Ms", "4000"),
+            ("Cookie", "s=" + "x" * COOKIE_BYTES),
+        ]
+        writer.write(make_message(f"GET /tours/{request_id} HTTP/1.1", names))
+    record.write(f"{ids[0]} to {ids[-1]} sent")
+    if TROUBLE:
+        await asyncio.sleep(LEAVES_AFTER_S)
+        for request_id in ids:
+            left_at_s[request_id] = record.now_s()
+        record.write(f"c{number} leaves")
+    else:
+        for request_id in ids:
+            answer = await read_answer(reader)
+            record.write(f"{request_id} {answer.status if answer else None}")
+            if answer is None:
+                break
+    writer.close()
 
 
 async def main(record):
     """Run the case; return whether the rule held."""
     fleet = Fleet(record, 1)
-    vm = fleet.vms[0]
     try:
         backends = [
-            Backend(record, f"i-{n}", fleet.free_address(100 + n), WORK_S)
+            CloseAwareBackend(record, f"i-{n}", fleet.free_address(100 + n), WORK_S)
             for n in range(N_BACKENDS)
         ]
-        document = make_configuration(1, None, BODY_MAX_BYTES, TIMEOUT_S)
-        await fleet.start(document, backends)
-        stop = asyncio.Event()
-        times_s = []
-        tasks = [
-            asyncio.create_task(send_ordinary(record, vm, n, times_s, stop))
-            for n in range(N_ORDINARY)
-        ]
-        tasks.append(asyncio.create_task(watch_ready(record, vm, stop)))
-        await asyncio.sleep(3.0)
-        n_before = len(times_s)
-        chunked = [
-            asyncio.create_task(send_chunked(record, vm, n)) for n in range(N_CHUNKED)
-        ]
-        await asyncio.sleep(LENGTH_S)
-        stop.set()
-        await asyncio.gather(*tasks)
-        for task in chunked:
-            task.cancel()
-        if not n_before:
-            raise NotRunError("no ordinary request was answered")
-        unanswered = [t for t in times_s if t >= TIMEOUT_S]
-        late = [t for t in unanswered if t > TIMEOUT_S + 0.5]
+        await fleet.start(make_configuration(1, None, 1 << 20, TIMEOUT_S), backends)
+        left_at_s = {}
+        clients = []
+        for number in range(N_CLIENTS):
+            clients.append(
+                asyncio.create_task(send_ahead(record, fleet.vms[0], number, left_at_s))
+            )
+            await asyncio.sleep(PERIOD_S)
+        await asyncio.gather(*clients)
+        await asyncio.sleep(WORK_S + 1.0)
+        n_late_arrivals = n_long = n_at_work = 0
+        for backend in backends:
+            for at_s, request_id in backend.arrivals:
+                record.write(f"{backend.server_id} got {request_id} at {at_s:.3f}")
+                if at_s > left_at_s.get(request_id, at_s) + ALLOWED_S:
+                    n_late_arrivals += 1
+            for request_id, (began_s, ended_s) in backend.work.items():
+                record.write(f"{request_id} worked {began_s:.3f} to {ended_s:.3f}")
+                if request_id not in left_at_s or began_s > left_at_s[request_id]:
+                    continue
+                bound_s = left_at_s[request_id] + ALLOWED_S
+                n_long += began_s + WORK_S > bound_s
+                n_at_work += ended_s > bound_s
+        if not any(backend.arrivals for backend in backends):
+            raise NotRunError("no request arrived")
         record.say(
-            f"{len(times_s)} ordinary requests, {len(unanswered)} open at timeoutS, "
-            f"{len(late)} of them without an answer 0.5 s later"
+            f"{n_late_arrivals} requests arrived over {ALLOWED_S} s after the close; "
+            f"{n_at_work} of {n_long} were still at work then"
         )
-        return len(late) <= len(unanswered) / 2
+        return n_late_arrivals <= 3 and n_at_work <= n_long / 4
     finally:
         fleet.stop()
 
