--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -608,6 +608,11 @@
         self.address = address
         self._streams = None
 
+    @property
+    def is_open(self):
+        """Whether it has a connection."""
+        return self._streams is not None
+
     async def request(self, method, target, headers=(), body=b"", timeout_s=5.0):
         """Return the answer, or None if the connection ended or the time is over."""
         try:
