--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the scripts review/11 to review/14 start beside the deployed program:
+# Builds what the scripts review/11 to review/15 start beside the deployed program:
 # their stand-ins are Python, so this only checks that they compile.
 set -e
 cd "$(dirname "$0")/.."
