--- a/review/13/case.py
+++ b/review/13/case.py
@@ -18,18 +18,18 @@
 )
 
 N_BACKENDS = 3
-N_CLIENTS = 6
+N_CLIENTS = 3
 PAUSE_S = 0.1
 WORK_S = 0.15
 DRAIN_S = 2.0
 # Times from the start of the cut between the backend and the store.
-CRASH_AT_S = 0.2
-RESTART_AT_S = 0.5
-LEAVE_AT_S = 1.0
+CRASH_AT_S = 0.1
+RESTART_AT_S = 0.4
+LEAVE_AT_S = 0.9
 # Within three heartbeats of 1.5 s, so the earlier entry doesn't expire.
 CUT_S = 4.4
 # The next heartbeat after the cut comes within one period of them.
-DRAINING_AT_S = CUT_S + 1.0
+DRAINING_AT_S = CUT_S + 1.3
 
 
 class LeavingBackend(Backend):
